--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -59,5 +59,9 @@
 // Remaining returns how many tasks of the step are not done.
 func (s *Step) Remaining() int { return s.remaining }
 
+// Fresh reports whether only the owner of this bookkeeper can have started tasks of the step: it became ready by tasks of which this
+// owner has seen a run, so they were not done before.
+func (s *Step) Fresh() bool { return s.fresh }
+
 // ReadyAt returns when the step became ready.
 func (s *Step) ReadyAt() time.Time { return s.readyAt }
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -58,6 +58,8 @@
 		remaining  int
 		ready      bool
 		readyAt    time.Time
+		// fresh tells that no earlier owner can have started a task of the step.
+		fresh bool
 	}
 
 	// Task is one task with what is known of its runs.
@@ -71,6 +73,8 @@
 		lastRun    int
 		waiting    bool
 		running    bool
+		// seen tells that a run was ordered or found since the bookkeeper knows the job.
+		seen       bool
 		waitsSince time.Time
 	}
 )
@@ -161,6 +165,7 @@
 			continue
 		}
 		s.ready, s.readyAt = true, now
+		s.fresh = slices.ContainsFunc(s.After, func(n int) bool { return o.steps[n].fresh || slices.ContainsFunc(o.steps[n].Tasks, (*Task).wasSeen) })
 		for _, t := range s.Tasks {
 			// An owner may have found a run before it knew that the step is ready.
 			if !t.done && !t.running {
@@ -198,7 +203,7 @@
 
 // Started notes that a run of the task was ordered.
 func (b *Bookkeeper) Started(t *Task, run int) {
-	t.waiting, t.running = false, true
+	t.waiting, t.running, t.seen = false, true, true
 	t.lastRun = max(t.lastRun, run)
 	j := t.Step.Job
 	j.started = true
@@ -285,6 +290,8 @@
 	return true
 }
 
+func (t *Task) wasSeen() bool { return t.seen }
+
 func (b *Bookkeeper) end(j *Job, state string, now time.Time) {
 	j.state, j.ended = state, now
 	delete(b.live, j.ID)
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -52,7 +52,8 @@
 		unrecorded []ack
 		waiters    []func(error)
 		drops      []string
-		newVMs     []string
+		// changedVMs have changed in whether they may have runs.
+		changedVMs map[string]struct{}
 		wake       chan struct{}
 		dispatcher dispatcher.Dispatcher
 		model      antagonist.Model
@@ -89,7 +90,8 @@
 	s.books, s.origin = bookkeeper.New(), map[string]Queue{}
 	s.vms, s.runs, s.restored = map[string]*vm{}, map[*bookkeeper.Task]*run{}, map[*bookkeeper.Job]struct{}{}
 	s.accepting, s.dirty = map[string]*acceptance{}, map[*bookkeeper.Job]struct{}{}
-	s.unrecorded, s.waiters, s.drops, s.newVMs = nil, nil, nil, nil
+	s.unrecorded, s.waiters, s.drops = nil, nil, nil
+	s.changedVMs = map[string]struct{}{}
 	progress := map[string][]byte{}
 	s.model, s.modelChanges, s.modelAt = antagonist.Model{Clock: c.Clock}, 0, now
 	for _, r := range records {
@@ -106,7 +108,7 @@
 	for _, r := range records {
 		if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
 			s.vms[name] = c.newVM(name)
-			s.vms[name].stored = true
+			s.vms[name].mayRun, s.vms[name].stored = true, true
 		}
 		id, ok := strings.CutPrefix(r.Key, keyJob)
 		if !ok {
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -113,7 +113,9 @@
 		breaker   breaker.Breaker
 		// closedUntil keeps starts away after a refusal.
 		closedUntil time.Time
-		stored      bool
+		// mayRun tells that the VM may have runs that a successor must find; stored that the store says so.
+		mayRun bool
+		stored bool
 		// announced is when the agent was last told of this owner before its first report.
 		announced time.Time
 		tickets   map[string]ticket
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -89,7 +89,8 @@
 			continue
 		}
 		// An agent that was restarted may report before it knows what runs at its endpoint.
-		unheard = unheard || (v.heard.IsZero() || !v.listed) && now.Sub(s.taken) <= lapse+c.Leases.Contact
+		unclear := v.heard.IsZero() || !v.listed && v.state != messenger.VMAbsent
+		unheard = unheard || unclear && now.Sub(s.taken) <= lapse+c.Leases.Contact
 		if v.state == messenger.VMDraining {
 			c.evacuate(v)
 		}
@@ -114,7 +115,7 @@
 		c.ended(x, messenger.End{Outcome: messenger.EndLapsed, Task: x.name, Number: x.number}, now)
 	}
 	delete(c.state.vms, name)
-	c.state.newVMs = append(c.state.newVMs, name)
+	c.state.changedVMs[name] = struct{}{}
 	c.Journal.Kick()
 }
 
@@ -164,7 +165,7 @@
 	var steps []*bookkeeper.Step
 	queues := map[string]dispatcher.Queue{}
 	s.books.Ready(func(step *bookkeeper.Step) {
-		if _, old := s.restored[step.Job]; old && !s.settled {
+		if _, old := s.restored[step.Job]; old && !s.settled && !step.Fresh() {
 			return
 		}
 		if !slices.ContainsFunc(step.Tasks, (*bookkeeper.Task).IsWaiting) {
--- a/internal/batch/coordinator/record.go
+++ b/internal/batch/coordinator/record.go
@@ -11,7 +11,7 @@
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
 	s := &c.state
-	if !s.owning || len(s.dirty)+len(s.waiters)+len(s.drops)+len(s.newVMs) == 0 && !s.modelDue {
+	if !s.owning || len(s.dirty)+len(s.waiters)+len(s.drops)+len(s.changedVMs) == 0 && !s.modelDue {
 		return committer.Entry{}, false
 	}
 	var records []storekeeper.Record
@@ -23,10 +23,12 @@
 	for _, id := range s.drops {
 		records = append(records, storekeeper.Record{Key: keyJob + id}, storekeeper.Record{Key: keyProgress + id})
 	}
-	for _, name := range s.newVMs {
+	var vms []*vm
+	for name := range s.changedVMs {
 		r := storekeeper.Record{Key: keyVM + name}
-		if _, ok := s.vms[name]; ok {
+		if v, ok := s.vms[name]; ok && v.mayRun {
 			r.Value = []byte("{}")
+			vms = append(vms, v)
 		}
 		records = append(records, r)
 	}
@@ -34,8 +36,9 @@
 		records = append(records, storekeeper.Record{Key: keyModel, Value: s.model.Record()})
 		s.modelChanges, s.modelDue = s.model.Changes(), false
 	}
-	acks, waiters, vms, epoch := s.unrecorded, s.waiters, s.newVMs, s.epoch
-	s.dirty, s.unrecorded, s.waiters, s.drops, s.newVMs = map[*bookkeeper.Job]struct{}{}, nil, nil, nil, nil
+	acks, waiters, epoch := s.unrecorded, s.waiters, s.epoch
+	s.dirty, s.unrecorded, s.waiters, s.drops = map[*bookkeeper.Job]struct{}{}, nil, nil, nil
+	s.changedVMs = map[string]struct{}{}
 	return committer.Entry{Records: records, Done: func(err error) {
 		c.recorded(epoch, err, shown, acks, vms)
 		for _, w := range waiters {
@@ -45,7 +48,7 @@
 }
 
 // recorded makes visible what was stored.
-func (c *Coordinator) recorded(epoch uint64, err error, shown map[*bookkeeper.Job]string, acks []ack, vms []string) {
+func (c *Coordinator) recorded(epoch uint64, err error, shown map[*bookkeeper.Job]string, acks []ack, vms []*vm) {
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
 	if err != nil || !c.state.owning || c.state.epoch != epoch {
@@ -61,10 +64,9 @@
 	for _, a := range acks {
 		a.vm.acknowledge(a.life, a.sequence)
 	}
-	for _, name := range vms {
-		if v, ok := c.state.vms[name]; ok {
-			v.stored = true
-		}
+	for _, v := range vms {
+		// The VM may have become empty while it was recorded.
+		v.stored = v.mayRun
 	}
 	c.kick()
 }
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -27,8 +27,6 @@
 	if !ok {
 		v = c.newVM(r.VM)
 		s.vms[r.VM] = v
-		s.newVMs = append(s.newVMs, r.VM)
-		c.Journal.Kick()
 	}
 	answer := messenger.ReportAnswer{Epoch: s.epoch, Granted: granted, Life: r.Life, Recorded: v.recordedOf(r.Life)}
 	if r.Generation == v.generation && r.Sequence <= v.sequence {
@@ -40,6 +38,7 @@
 		c.takeEnds(v, r, now)
 		c.takeRuns(v, r, now)
 	}
+	c.note(v)
 	c.pace(v, now)
 	answer.Recorded = v.recordedOf(r.Life)
 	c.kick()
@@ -83,6 +82,21 @@
 	}
 }
 
+// note lets the store know whether the VM may have runs, so that a successor waits for it only if it may.
+func (c *Coordinator) note(v *vm) {
+	mayRun := v.state != messenger.VMAbsent || len(v.runs) > 0
+	if mayRun == v.mayRun {
+		return
+	}
+	v.mayRun = mayRun
+	if !mayRun {
+		// Starts wait for the record that names the VM again.
+		v.stored = false
+	}
+	c.state.changedVMs[v.Name] = struct{}{}
+	c.Journal.Kick()
+}
+
 // takeEnds takes over ends that were not seen before.
 func (c *Coordinator) takeEnds(v *vm, r messenger.Report, now time.Time) {
 	for _, e := range r.Ends {
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -177,7 +177,7 @@
 		}
 	}
 	if a.absent >= absences {
-		r.State = messenger.VMUnknown
+		r.State = messenger.VMAbsent
 	}
 	for _, x := range a.runs {
 		r.Runs = append(r.Runs, x.Run)
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -24,8 +24,10 @@
 const (
 	VMUp       = "up"
 	VMDraining = "draining"
-	// VMUnknown is before the endpoint has described itself, and after it has gone.
+	// VMUnknown is before the endpoint has described itself.
 	VMUnknown = "unknown"
+	// VMAbsent tells that no endpoint process listens, so that nothing runs.
+	VMAbsent = "absent"
 )
 
 // How a run ended.
