--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -63,5 +63,14 @@
 // owner has seen a run, so they were not done before.
 func (s *Step) Fresh() bool { return s.fresh }
 
+// Left returns the work that is left of the step's occurrence by its estimates, in processor seconds.
+func (s *Step) Left() float64 {
+	left := 0.0
+	for _, other := range s.Job.occurrences[s.Occurrence].steps {
+		left += float64(other.remaining) * other.Estimate.Seconds() * float64(other.Size.MilliProcessors) / 1000
+	}
+	return left
+}
+
 // ReadyAt returns when the step became ready.
 func (s *Step) ReadyAt() time.Time { return s.readyAt }
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -58,7 +58,9 @@
 		step     *bookkeeper.Step
 		priority int
 		class    int
-		at       time.Time
+		// left is the work that is left of the job, in processor seconds.
+		left float64
+		at   time.Time
 	}
 )
 
@@ -113,10 +115,10 @@
 		if !ok {
 			continue
 		}
-		candidates = append(candidates, candidate{s, q.Priority, class(now, s, q), s.Job.Accepted})
+		candidates = append(candidates, candidate{s, q.Priority, class(now, s, q), s.Left(), s.Job.Accepted})
 	}
 	slices.SortStableFunc(candidates, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.class, y.class), x.at.Compare(y.at))
+		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.class, y.class), cmp.Compare(x.left, y.left), x.at.Compare(y.at))
 	})
 	return candidates
 }
--- a/internal/batch/dispatcher/dispatcher_test.go
+++ b/internal/batch/dispatcher/dispatcher_test.go
@@ -142,6 +142,18 @@
 		Expect(placed).NotTo(HaveKey("old.0.0.0"))
 	})
 
+	// Pattern: a backlog of builds of all sizes, all of which can still end in time. By age the large ones hold up the small ones.
+	It("starts the build first that has least left", func() {
+		accept("large", "builds", job.Step{Tasks: 32, Size: size(4), Estimate: 2 * second})
+		now = now.Add(second)
+		accept("small", "builds", job.Step{Tasks: 8, Size: size(4), Estimate: 2 * second})
+		placed := plan()
+		Expect(placed).To(HaveLen(32))
+		for i := range 8 {
+			Expect(placed).To(HaveKey(fmt.Sprintf("small.0.0.%d", i)))
+		}
+	})
+
 	Describe("beside long-running tasks", func() {
 		serving := func(id, image string, tasks int) {
 			accept(id, "urgent", job.Step{Tasks: tasks, Size: size(10), LongRunning: true, TailTarget: 20 * time.Millisecond, Image: image})
@@ -226,6 +238,53 @@
 			Expect(plan()).To(HaveLen(4))
 		})
 
+		// Pattern: a backlog of programs that press hard, and VMs with little left for them. Tasks that start all the same stand still
+		// and take the memory of those that would work.
+		It("lets a task wait that would be slowed down to less than half", func() {
+			d.Model = model{{"x", "bad"}: 4}
+			serving("a", "x", 12)
+			measured(plan(), 0.6)
+			build("b", "bad", 4)
+			now = now.Add(10 * second)
+			Expect(plan()).To(BeEmpty())
+			vms[0].SetVictims([]dispatcher.Victim{{Program: "x", Own: 0.2, Limit: 0.78}})
+			placed := plan()
+			Expect(placed).NotTo(BeEmpty())
+			Expect(count(placed, "vm-0")).To(Equal(len(placed)))
+		})
+
+		// Pattern: a VM whose filling tasks were slowed down. What they leave unused is theirs as soon as own loads fall.
+		It("counts slowed tasks in full before it adds others that press", func() {
+			d.Model = model{{"x", "bad"}: 2}
+			serving("a", "x", 12)
+			measured(plan(), 0.42)
+			build("b", "bad", 40)
+			first := plan()
+			Expect(first).NotTo(BeEmpty())
+			for _, v := range vms {
+				v.SetSlowed(map[string]int64{"bad": 4000 * int64(count(first, v.Name))})
+			}
+			Expect(plan()).To(BeEmpty())
+		})
+
+		// Pattern: a VM in trouble, from which one task after the other is taken away while new ones arrive.
+		It("sends nothing that presses to a VM where a target is missed", func() {
+			d.Model = model{{"x", "some"}: 0.6}
+			serving("a", "x", 12)
+			measured(plan(), 0.42)
+			for _, v := range vms {
+				v.Strained = true
+			}
+			build("b", "some", 40)
+			now = now.Add(10 * second)
+			for _, v := range vms {
+				v.SetVictims([]dispatcher.Victim{{Program: "x", Own: 0.7, Limit: 0.78}})
+			}
+			Expect(plan()).To(BeEmpty())
+			build("c", "none", 4)
+			Expect(plan()).To(HaveLen(4))
+		})
+
 		// Pattern: a load of programs that press a little. Each one alone is harmless, all together on one VM are not.
 		It("counts the pressure of all filling tasks at a VM", func() {
 			d.Model = model{{"x", "some"}: 0.6}
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -24,11 +24,12 @@
 	trialShare = 0.3
 	// trialPatience is how long a task waits for the outcome of a trial, which takes two measurements of half a second.
 	trialPatience = 1200 * time.Millisecond
-	// patience is how long a task waits for a VM on which no target will be missed. After that it starts and is slowed down there.
-	// Where most of the capacity is free, idlePatience holds, because nobody would understand why it waits.
+	// patience is how long a task waits for a VM on which no target will be missed. After that it starts where it can work at leastPace:
+	// slower ones hold up others more than they do. Where most of the capacity is free, idlePatience holds, because nobody would understand why it waits.
 	patience     = 6 * time.Second
 	idlePatience = 2 * time.Second
 	idleShare    = 0.5
+	leastPace    = 0.5
 )
 
 type (
@@ -47,6 +48,8 @@
 		most     float64
 		over     float64
 		doubtful bool
+		// pace is the share at which the task could work without a missed target.
+		pace float64
 	}
 )
 
@@ -72,7 +75,7 @@
 		waited := now.Sub(t.WaitsSince())
 		spare, size := d.spare(v), float64(s.Size.MilliProcessors)
 		e := d.pressure(s, v)
-		if spare < size*(1-fillSlack) || e.over > 0 && waited < d.patience() {
+		if spare < size*(1-fillSlack) || e.over > 0 && (v.Strained || !d.tolerable(e, waited)) {
 			return score{}, false
 		}
 		if e.doubtful && waited < trialPatience && !d.mayTry(s, v) {
@@ -96,17 +99,22 @@
 	return rated, true
 }
 
-// patience returns how long a filling task waits for a VM where it is not felt.
-func (d *Dispatcher) patience() time.Duration {
+// tolerable reports whether a task that has waited may start where a target will be missed unless it is slowed down.
+func (d *Dispatcher) tolerable(e effect, waited time.Duration) bool {
+	if d.idle() {
+		return waited >= idlePatience
+	}
+	return waited >= patience && e.pace >= leastPace
+}
+
+// idle reports whether most of the capacity is free.
+func (d *Dispatcher) idle() bool {
 	var used, capacity int64
 	for _, v := range d.vms {
 		used += v.reserved.MilliProcessors + v.filling
 		capacity += v.Capacity.MilliProcessors
 	}
-	if float64(used) < idleShare*float64(capacity) {
-		return idlePatience
-	}
-	return patience
+	return float64(used) < idleShare*float64(capacity)
 }
 
 func safety(pressure float64) int {
@@ -121,7 +129,7 @@
 
 // pressure returns what one more task of the step would do at the VM.
 func (d *Dispatcher) pressure(s *bookkeeper.Step, v *VM) effect {
-	var e effect
+	e := effect{pace: 1}
 	if d.Model == nil || len(v.victims) == 0 {
 		return e
 	}
@@ -140,6 +148,7 @@
 			continue
 		}
 		e.over = max(e.over, felt[n]+rise+reserve-victim.Limit)
+		e.pace = min(e.pace, max(victim.Limit-reserve-felt[n], 0)/rise)
 	}
 	return e
 }
@@ -154,7 +163,7 @@
 		v.felt[n] = victim.Own
 		for program, processors := range v.programs {
 			mean, _ := d.Model.Pressure(victim.Program, program)
-			v.felt[n] += mean * float64(max(processors-v.slowed[program], 0)) / float64(max(v.Capacity.MilliProcessors, 1))
+			v.felt[n] += mean * float64(processors) / float64(max(v.Capacity.MilliProcessors, 1))
 		}
 	}
 	return v.felt
--- a/internal/batch/pacer/pacer.go
+++ b/internal/batch/pacer/pacer.go
@@ -10,8 +10,9 @@
 const (
 	// FullPercent is the pace of a task that is not slowed down.
 	FullPercent = 100
-	// margin is kept below the utilisation at which a target is missed.
-	margin = 0.04
+	// margin is kept below the utilisation at which a target is missed, missedMargin while it is.
+	margin       = 0.04
+	missedMargin = 0.06
 	// pauseAfter is the part of the tolerated time over the target after which all filling tasks that press pause.
 	pauseAfter = 0.55
 	// negligible is a pressure, as a utilisation, that is not worth slowing a task down.
@@ -84,6 +85,9 @@
 // reduce lowers the shares until the victim is below its limit or nothing presses on it any more.
 func reduce(victim int, v Victim, fillers []Filler, shares []float64) {
 	excess := v.Own + margin - v.Limit
+	if v.Missed {
+		excess = v.Own + missedMargin - v.Limit
+	}
 	order := make([]int, 0, len(fillers))
 	for n, f := range fillers {
 		excess += f.Pressures[victim] * shares[n]
