--- a/internal/batch/antagonist/record.go
+++ b/internal/batch/antagonist/record.go
@@ -66,7 +66,9 @@
 		v.rest, v.usual.Mean = known.Rest, known.Own
 	}
 	for _, p := range r.Pairs {
-		m.victim(p.Victim).model.Add(pressPrefix+p.Kind, regressor.Belief{Mean: p.Mean, Deviation: p.Deviation})
+		v := m.victim(p.Victim)
+		v.model.Add(pressPrefix+p.Kind, regressor.Belief{Mean: p.Mean, Deviation: p.Deviation})
+		clear(v.known)
 	}
 	return nil
 }
--- a/internal/batch/antagonist/victim.go
+++ b/internal/batch/antagonist/victim.go
@@ -42,18 +42,24 @@
 	model regressor.Regressor
 	// relaxed is when the drift of a quantity was last taken into account.
 	relaxed map[string]time.Time
+	// known holds the pressures that were asked for since the last measurement.
+	known map[string]regressor.Belief
 }
 
 func newVictim() *victim {
-	return &victim{rest: restRatio, usual: priorLoad, relaxed: map[string]time.Time{}}
+	return &victim{rest: restRatio, usual: priorLoad, relaxed: map[string]time.Time{}, known: map[string]regressor.Belief{}}
 }
 
 // pressure returns what is known of a program.
 func (v *victim) pressure(program string) regressor.Belief {
-	b, ok := v.model.Belief(pressPrefix + program)
-	if !ok {
-		return priorPressure
+	b, ok := v.known[program]
+	if ok {
+		return b
 	}
+	if b, ok = v.model.Belief(pressPrefix + program); !ok {
+		b = priorPressure
+	}
+	v.known[program] = b
 	return b
 }
 
@@ -112,6 +118,7 @@
 	if bound {
 		used = overload
 	}
+	clear(v.known)
 	v.model.Observe(weights, regressor.Belief{Mean: used, Deviation: math.Sqrt(variance)}, bound)
 }
 
