--- a/internal/batch/antagonist/window.go
+++ b/internal/batch/antagonist/window.go
@@ -26,7 +26,7 @@
 			u, ok := w.programs[program]
 			if !ok {
 				// It was not there when the window began.
-				u = &use{most: 0}
+				u = &use{}
 				if w.begun.Equal(w.at) {
 					u.least = w.last[program]
 				}
--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -30,43 +30,23 @@
 // work and can resume are moved.
 func (c *Coordinator) pace(v *vm, now time.Time) {
 	c.state.dispatcher.Model = &c.state.model
-	model, shares := &c.state.model, v.fillingShares()
-	var samples []antagonist.Sample
-	worst := 0.0
-	for _, x := range v.runs {
-		if ratio := x.latency(); ratio > 0 {
-			samples = append(samples, antagonist.Sample{Task: x.name, Program: x.task.Step.Image, Group: stepName(x.task.Step), Ratio: ratio})
-			worst = max(worst, ratio)
-		}
-	}
-	// The order of a map would decide between equals.
-	slices.SortFunc(samples, func(a, b antagonist.Sample) int { return cmp.Compare(a.Task, b.Task) })
-	measured, victims := make([]dispatcher.Victim, len(samples)), make([]pacer.Victim, len(samples))
-	programs := make([]string, len(samples))
-	for n, own := range model.Measure(v.Name, samples, shares, now) {
-		s := samples[n]
-		limit := model.Limit(s.Program)
-		measured[n] = dispatcher.Victim{Program: s.Program, Own: model.Own(s.Group, s.Program, now), Limit: limit}
-		victims[n] = pacer.Victim{Own: own, Limit: limit, Missed: s.Ratio > 1}
-		programs[n] = s.Program
-	}
-	v.SetVictims(measured)
+	victims, programs := c.measure(v, now)
 	before := v.Strained
 	paces := v.pacer.Paces(victims, c.fillers(v, programs), now)
 	v.Strained = v.pacer.Strained()
 	if v.Strained != before {
-		c.Log.Info().Str("vm", v.Name).Bool("strained", v.Strained).Float64("worst", worst).Interface("shares", shares).
+		c.Log.Info().Str("vm", v.Name).Bool("strained", v.Strained).Float64("worst", v.worst()).Interface("shares", v.fillingShares()).
 			Uint64("report", v.sequence).Msg("latency at VM")
 	}
 	var slowest, stuck *run
-	slowed := map[string]int64{}
+	idle := int64(0)
 	for _, y := range v.runs {
 		pace, ok := paces[y.name]
 		if !ok {
 			continue
 		}
 		y.setPace(pace, now)
-		slowed[y.task.Step.Image] += y.task.Step.Size.MilliProcessors * int64(pacer.FullPercent-y.pace) / pacer.FullPercent
+		idle += y.task.Step.Size.MilliProcessors * int64(pacer.FullPercent-y.pace) / pacer.FullPercent
 		if y.movable(now) && (slowest == nil || y.pace < slowest.pace) {
 			slowest = y
 		}
@@ -74,7 +54,7 @@
 			stuck = y
 		}
 	}
-	v.SetSlowed(slowed)
+	v.SetIdle(idle)
 	switch {
 	case stuck != nil:
 		c.withdraw(stuck, "stuck")
@@ -83,6 +63,30 @@
 	}
 }
 
+// measure learns from the latencies at the VM. It returns the long-running tasks with a target, and what they run.
+func (c *Coordinator) measure(v *vm, now time.Time) (victims []pacer.Victim, programs []string) {
+	var samples []antagonist.Sample
+	for _, x := range v.runs {
+		if ratio := x.latency(); ratio > 0 {
+			samples = append(samples, antagonist.Sample{Task: x.name, Program: x.task.Step.Image, Group: stepName(x.task.Step), Ratio: ratio})
+		}
+	}
+	// The order of a map would decide between equals.
+	slices.SortFunc(samples, func(a, b antagonist.Sample) int { return cmp.Compare(a.Task, b.Task) })
+	model := &c.state.model
+	measured := make([]dispatcher.Victim, len(samples))
+	for n, own := range model.Measure(v.Name, samples, v.fillingShares(), now) {
+		s := samples[n]
+		limit := model.Limit(s.Program)
+		// New tasks stay for seconds, so they are placed by the load of all tasks of the step; paces follow the task itself.
+		measured[n] = dispatcher.Victim{Program: s.Program, Own: model.Own(s.Group, s.Program, now), Limit: limit}
+		victims = append(victims, pacer.Victim{Own: own, Limit: limit, Missed: s.Ratio > 1})
+		programs = append(programs, s.Program)
+	}
+	v.SetVictims(measured)
+	return victims, programs
+}
+
 // fillers returns the filling tasks at the VM with their pressures on the programs.
 func (c *Coordinator) fillers(v *vm, programs []string) []pacer.Filler {
 	var fillers []pacer.Filler
@@ -145,6 +149,15 @@
 	return x.pace < moveBelow && x.current && !x.stopping && x.answered && x.task.Step.Checkpoints && now.Sub(x.orderedAt) > settleTime
 }
 
+// worst returns the highest ratio of a latency at the VM to its target.
+func (v *vm) worst() float64 {
+	highest := 0.0
+	for _, x := range v.runs {
+		highest = max(highest, x.latency())
+	}
+	return highest
+}
+
 // fillingShares returns the shares of the VM's processors that filling programs used when the report was made.
 func (v *vm) fillingShares() map[string]float64 {
 	shares := map[string]float64{}
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -233,7 +233,7 @@
 	}
 	v.Remove(x.task)
 	c.state.model.Forget(x.name)
-	if !x.task.Step.Job.Live() {
+	if x.task.Step.LongRunning && !x.task.Step.Job.Live() {
 		c.state.model.ForgetGroup(stepName(x.task.Step), x.task.Step.Image)
 	}
 	current := x.current
--- a/internal/batch/dispatcher/dispatcher_test.go
+++ b/internal/batch/dispatcher/dispatcher_test.go
@@ -262,7 +262,7 @@
 			first := plan()
 			Expect(first).NotTo(BeEmpty())
 			for _, v := range vms {
-				v.SetSlowed(map[string]int64{"bad": 4000 * int64(count(first, v.Name))})
+				v.SetIdle(4000 * int64(count(first, v.Name)))
 			}
 			Expect(plan()).To(BeEmpty())
 		})
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -25,7 +25,8 @@
 	// trialPatience is how long a task waits for the outcome of a trial, which takes two measurements of half a second.
 	trialPatience = 1200 * time.Millisecond
 	// patience is how long a task waits for a VM on which no target will be missed. After that it starts where it can work at leastPace:
-	// slower ones hold up others more than they do. Where most of the capacity is free, idlePatience holds, because nobody would understand why it waits.
+	// slower ones hold up others more than they do. Where most of the capacity is free, idlePatience holds, because nobody would
+	// understand why it waits.
 	patience     = 6 * time.Second
 	idlePatience = 2 * time.Second
 	idleShare    = 0.5
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -29,9 +29,8 @@
 	victims  map[string]int64
 	programs map[string]int64
 	measured []Victim
-	// slowed holds the processors of each program that are not used because its tasks are slowed down, idle is their sum.
-	slowed map[string]int64
-	idle   int64
+	// idle are the processors that filling tasks leave unused because they are slowed down.
+	idle int64
 	// felt is what each of Victims feels of the programs; nil if it has to be computed.
 	felt []float64
 }
@@ -47,14 +46,8 @@
 // SetVictims replaces the long-running tasks with a latency target, as they were measured. The VM keeps the slice.
 func (v *VM) SetVictims(victims []Victim) { v.measured, v.felt = victims, nil }
 
-// SetSlowed replaces what filling tasks leave unused because they are slowed down, in thousandths of a processor by program. The VM
-// keeps the map.
-func (v *VM) SetSlowed(slowed map[string]int64) {
-	v.slowed, v.idle, v.felt = slowed, 0, nil
-	for _, processors := range slowed {
-		v.idle += processors
-	}
-}
+// SetIdle replaces what filling tasks leave unused because they are slowed down, in thousandths of a processor.
+func (v *VM) SetIdle(processors int64) { v.idle = processors }
 
 // Add counts a run of the task at the VM.
 func (v *VM) Add(t *bookkeeper.Task) { v.count(t, 1) }
--- a/internal/request/lingerer/lingerer.go
+++ b/internal/request/lingerer/lingerer.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// closingTime is how long the user of a connection takes at most to close it after a request has failed.
+const closingTime = 100 * time.Millisecond
+
 type (
 	// Lingerer dials connections that are closed in two steps: the own side at once, the rest when the peer has closed its side. Set the
 	// exported fields before the first use. Concurrent use is safe.
@@ -28,6 +31,8 @@
 		limit   time.Duration
 		closing sync.Once
 		ending  sync.Once
+		// closed is closed when the own side is.
+		closed chan struct{}
 		// ended is closed when the peer has closed its side, or at the limit.
 		ended chan struct{}
 	}
@@ -43,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, limit: l.Limit, ended: make(chan struct{})}, nil
+	return &conn{Conn: opened, limit: l.Limit, closed: make(chan struct{}), ended: make(chan struct{})}, nil
 }
 
 // Ended reports whether the peer of a connection that DialContext opened has closed its side. It is true for other connections.
@@ -60,15 +65,23 @@
 	}
 }
 
-// Await returns when Ended is true of a connection that is being closed here, at the latest after the limit.
+// Await returns when Ended is true of a connection that is being closed here, at the latest after the limit. A connection that stays
+// open is in use again, so that its peer has done with what it was used for.
 func Await(c net.Conn) {
 	lingering, ok := c.(*conn)
 	if !ok {
 		return
 	}
-	timer := time.NewTimer(lingering.limit)
+	timer := time.NewTimer(closingTime)
 	defer timer.Stop()
 	select {
+	case <-lingering.closed:
+	case <-lingering.ended:
+	case <-timer.C:
+		return
+	}
+	timer.Reset(lingering.limit)
+	select {
 	case <-lingering.ended:
 	case <-timer.C:
 	}
@@ -88,6 +101,7 @@
 func (c *conn) Close() error {
 	var err error
 	c.closing.Do(func() {
+		close(c.closed)
 		half, ok := c.Conn.(halfCloser)
 		if !ok || Ended(c) {
 			err = c.Conn.Close()
--- a/internal/request/lingerer/lingerer_test.go
+++ b/internal/request/lingerer/lingerer_test.go
@@ -63,6 +63,12 @@
 		Expect(lingerer.Ended(c)).To(BeTrue())
 		Expect(c.Close()).To(Succeed())
 	})
+	It("does not wait for a connection that stays open", func() {
+		c := open(10 * time.Second)
+		defer func() { _ = c.Close() }()
+		defer func() { _ = (<-accepted).Close() }()
+		Eventually(awaiting(c), "2s").Should(BeClosed())
+	})
 	It("does not wait for connections of others", func() {
 		plain, other := net.Pipe()
 		defer func() { _ = plain.Close(); _ = other.Close() }()
