--- a/internal/batch/dispatcher/dispatcher_test.go
+++ b/internal/batch/dispatcher/dispatcher_test.go
@@ -253,6 +253,19 @@
 			Expect(count(placed, "vm-0")).To(Equal(len(placed)))
 		})
 
+		// Pattern: a program that presses hard on all VMs, always. Nothing that was accepted may wait for ever.
+		It("starts a task in the end that would be slowed down everywhere, where it can work most", func() {
+			d.Model = model{{"x", "bad"}: 4}
+			serving("a", "x", 12)
+			measured(plan(), 0.68)
+			vms[2].SetVictims([]dispatcher.Victim{{Program: "x", Own: 0.64, Limit: 0.78}})
+			build("b", "bad", 1)
+			now = now.Add(12 * second)
+			Expect(plan()).To(BeEmpty())
+			now = now.Add(6 * second)
+			Expect(plan()).To(Equal(map[string]string{"b.0.0.0": "vm-2"}))
+		})
+
 		// Pattern: a VM whose filling tasks were slowed down. What they leave unused is theirs as soon as own loads fall.
 		It("counts slowed tasks in full before it adds others that press", func() {
 			d.Model = model{{"x", "bad"}: 2}
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -16,6 +16,8 @@
 	// softly and hardly separate pressures that no target feels, some that one may feel, and others, as utilisations.
 	softly = 0.03
 	hardly = 0.12
+	// worstSafety is the class of a VM where the task would be slowed down.
+	worstSafety = -1
 	// unknown is the deviation from which a pressure counts as not known.
 	unknown = 0.6
 	// trialVMs bounds the VMs on which a program is tried at a time beside one on which its pressure is not known, and trialShare its
@@ -31,6 +33,9 @@
 	idlePatience = 2 * time.Second
 	idleShare    = 0.5
 	leastPace    = 0.5
+	// yielding is the time after patience in which a task becomes content with less than leastPace, in the end with any. Some programs
+	// press on all VMs; own loads swing within that time, so that each VM has room for one at some moment.
+	yielding = 12 * time.Second
 )
 
 type (
@@ -82,8 +87,10 @@
 		if e.doubtful && waited < trialPatience && !d.mayTry(s, v) {
 			return score{}, false
 		}
-		rated.safe = safety(e.most)
-		rated.fit = (spare - size) / capacity
+		rated.safe, rated.fit = safety(e.most), (spare-size)/capacity
+		if e.over > 0 {
+			rated.safe, rated.fit = worstSafety, e.pace
+		}
 	case s.LongRunning:
 		rated.safe = safety(d.exposure(s, v))
 		// Few programs on each VM leave more VMs on which a filling program presses on none of them.
@@ -105,7 +112,10 @@
 	if d.idle() {
 		return waited >= idlePatience
 	}
-	return waited >= patience && e.pace >= leastPace
+	if waited < patience {
+		return false
+	}
+	return e.pace >= leastPace*(1-float64(waited-patience)/float64(yielding))
 }
 
 // idle reports whether most of the capacity is free.
