--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -36,6 +36,8 @@
 	c.describe(v, r, now)
 	if r.Listed {
 		c.takeEnds(v, r, now)
+	}
+	if r.Listed || r.State == messenger.VMAbsent {
 		c.takeRuns(v, r, now)
 	}
 	c.note(v)
@@ -63,7 +65,8 @@
 	if v.life != 0 && r.Life != 0 && r.Life != v.life {
 		c.Log.Info().Str("vm", v.Name).Int64("life", r.Life).Int64("before", v.life).Msg("endpoint was replaced")
 		for _, x := range v.runs {
-			c.ended(x, messenger.End{Outcome: messenger.EndGone, Task: x.name, Number: x.number}, now)
+			// A start may have reached the new process. Its first complete list shows that; what it does not show is gone.
+			x.answered, x.sequence, x.paced = true, 0, pacer.FullPercent
 		}
 		v.processed, v.recorded, v.pending = 0, 0, map[int64]struct{}{}
 		v.breaker.Succeeded()
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -27,6 +27,50 @@
 		f.run(time.Second)
 	})
 
+	// Pattern: an endpoint is replaced while a start is under way, which reaches the new process before it has been listed.
+	It("does not start a task again that may run at a new process of the endpoint", func() {
+		submit(chain)
+		f.run(200 * time.Millisecond)
+		Expect(f.running()).To(HaveLen(2))
+		for _, a := range f.agents {
+			if len(a.runs) > 0 {
+				a.life, a.unlisted = 200, true
+			}
+		}
+		f.run(600 * time.Millisecond)
+		for _, a := range f.agents {
+			a.unlisted = false
+		}
+		f.run(600 * time.Millisecond)
+		Expect(f.running()).To(Equal(map[string]int{"a.0.0.0": 1, "a.0.0.1": 1}))
+		for _, a := range f.agents {
+			Expect(a.stops).To(BeEmpty())
+		}
+	})
+	It("starts a task elsewhere when the new process ends before it was listed", func() {
+		submit(chain)
+		f.run(200 * time.Millisecond)
+		for _, a := range f.agents {
+			if len(a.runs) > 0 {
+				a.life, a.unlisted, a.runs = 200, true, map[string]messenger.Run{}
+				f.report(a)
+				a.state = messenger.VMAbsent
+			}
+		}
+		f.run(600 * time.Millisecond)
+		Expect(f.running()).To(Equal(map[string]int{"a.0.0.0": 1, "a.0.0.1": 1}))
+	})
+	It("starts a task again that a new process of the endpoint does not have", func() {
+		submit(chain)
+		f.run(200 * time.Millisecond)
+		for _, a := range f.agents {
+			if len(a.runs) > 0 {
+				a.life, a.runs = 200, map[string]messenger.Run{}
+			}
+		}
+		f.run(600 * time.Millisecond)
+		Expect(f.running()).To(Equal(map[string]int{"a.0.0.0": 1, "a.0.0.1": 1}))
+	})
 	It("does not wait for a VM whose endpoint had ended", func() {
 		f.agents["vm-2"].state = messenger.VMAbsent
 		f.run(400 * time.Millisecond)
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -186,6 +186,24 @@
 		Eventually(func() bool { r := o.report(); return r.State == messenger.VMAbsent && len(r.Runs) == 0 }).Should(BeTrue())
 	})
 
+	// Guards against a second run elsewhere of a task whose start reaches the process that comes next.
+	It("keeps a start under way on its list when the endpoint has ended", func() {
+		e.mutex.Lock()
+		e.gate = make(chan struct{})
+		gate := e.gate
+		e.mutex.Unlock()
+		done := make(chan struct{})
+		go func() { a.Orders(ctx, orders(start(task, 1))); close(done) }()
+		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.held }).Should(BeTrue())
+		e.mutex.Lock()
+		e.absent = true
+		e.mutex.Unlock()
+		Eventually(func() string { return o.report().State }).Should(Equal(messenger.VMAbsent))
+		Expect(o.report().Runs).To(HaveLen(1))
+		close(gate)
+		Eventually(done).Should(BeClosed())
+	})
+
 	// Guards against leases that are renewed for ever without an owner.
 	It("renews leases only while an owner answers", func() {
 		last := func() int64 { e.mutex.Lock(); defer e.mutex.Unlock(); return e.queries[len(e.queries)-1].Deadline }
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -111,7 +111,12 @@
 	}
 	a.Log.Warn().Int64("life", a.life).Int("runs", len(a.runs)).Msg("endpoint has ended")
 	// Its ends stay listed: if it was the same process after all, it expects them to be taken.
-	a.runs = map[string]*run{}
+	for name, x := range a.runs {
+		// A start under way may still reach the process that comes next.
+		if x.phase == phaseRunning {
+			delete(a.runs, name)
+		}
+	}
 	a.kick()
 }
 
