--- a/tests/batch/suite_test.go
+++ b/tests/batch/suite_test.go
@@ -61,6 +61,9 @@
 			if slices.ContainsFunc(suite.FocusStrings, func(s string) bool { return !regexp.MustCompile(s).MatchString(name) }) {
 				continue
 			}
+			if slices.ContainsFunc(suite.SkipStrings, func(s string) bool { return regexp.MustCompile(s).MatchString(name) }) {
+				continue
+			}
 			outcomes[name] = launcher.Background(func(fail func(string, ...int)) { run(name, scenario, NewGomega(fail)) })
 		}
 	})
