coordinator, attendant: log what tells the causes of second runs apart

Cause: the logs did not show from what the owner concluded that a run has ended, how often its start was sent, which agent process a report came from, and with which fencing token an agent's first list was made. Without these, a rejected repeat, a list that proved nothing and reports out of order look the same. Change: fields evidence, report, sent and generation; lines for the first report of an agent process, the first complete list, fenced lists, the end of start calls and results of runs that are not current. No decision changes.

--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -168,8 +168,9 @@
 		visibleFrom       uint64
 		// knownSince is when the run was placed on the VM, or when it was found there.
 		knownSince time.Time
-		// startSentAt is when the start was last sent, or the zero time if it was not sent yet.
+		// startSentAt is when the start was last sent, or the zero time if it was not sent yet. startsSent is how often it was sent.
 		startSentAt time.Time
+		startsSent  int
 		// stopping reports whether the run should be stopped. stopSentAt is when the stop was last sent.
 		stopping   bool
 		stopSentAt time.Time
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -116,7 +116,7 @@
 func (c *Coordinator) removeLostVM(name string, v *vm, now time.Time) {
 	c.Log.Warn().Str("vm", name).Time("heard", v.lastReportAt).Int("runs", len(v.runs)).Msg("VM lost: all its leases have expired")
 	for _, x := range v.runs {
-		c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLeaseExpired, Task: x.taskName, Number: x.number}, now)
+		c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLeaseExpired, Task: x.taskName, Number: x.number}, "silence of the VM", now)
 	}
 	delete(c.state.vms, name)
 	c.state.interferenceModel.ForgetVM(name)
@@ -267,6 +267,7 @@
 	case !x.expectedInReports:
 		if now.Sub(x.startSentAt) > orderRetryInterval {
 			x.startSentAt = now
+			x.startsSent++
 			o.Starts = append(o.Starts, messenger.Start{
 				Task: x.taskName, Number: x.number, Payload: x.task.Step.Job.Payload, Checkpoint: x.task.Checkpoint(), Ticket: x.ticketText,
 				Size: x.task.Step.Size, BestEffort: x.task.Step.BestEffort,
@@ -301,7 +302,7 @@
 		return
 	}
 	if err != nil {
-		c.Log.Warn().Err(err).Str("vm", name).Int("starts", len(o.Starts)).Int("stops", len(o.Stops)).Msg("agent did not respond to orders")
+		c.Log.Warn().Err(err).Str("vm", name).Int("starts", len(o.Starts)).Int("stops", len(o.Stops)).Str("generation", v.agentGeneration).Msg("agent did not respond to orders")
 		return
 	}
 	now := c.Clock.Now()
@@ -349,8 +350,9 @@
 // undoStart removes a run whose start was refused, and makes its task wait again. Such a run certainly does not exist at the endpoint.
 func (c *Coordinator) undoStart(x *run, reason string, now time.Time) {
 	c.Meter.Count("starts-refused")
-	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("reason", reason).Msg("agent refused to start a run")
-	c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: x.taskName, Number: x.number}, now)
+	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("reason", reason).Int("sent", x.startsSent).
+		Str("generation", x.vm.agentGeneration).Msg("agent refused to start a run")
+	c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: x.taskName, Number: x.number}, "refusal", now)
 }
 
 // wakeChannel returns the channel that makes Run plan soon.
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -57,6 +57,10 @@
 
 // updateVM updates the VM from a report, except for its runs.
 func (c *Coordinator) updateVM(v *vm, r messenger.Report, now time.Time) {
+	if r.Generation != v.agentGeneration {
+		c.Log.Info().Str("vm", v.Name).Str("generation", r.Generation).Str("before", v.agentGeneration).Uint64("report", r.Sequence).
+			Uint64("agent-epoch", r.Epoch).Int("runs", len(v.runs)).Msg("first report of an agent process")
+	}
 	if r.Generation != v.agentGeneration && v.agentGeneration != "" {
 		// The agent was restarted. Its first complete list of runs shows which of the sent starts have reached the endpoint, including those to
 		// which the previous agent process did not respond. The confirmed pace 0 makes the owner send every pace above 0 again.
@@ -118,8 +122,10 @@
 			x = c.adoptFinishedRun(v, result)
 		}
 		if x != nil {
-			c.finishRun(x, result, now)
+			c.finishRun(x, result, "result", now)
 		} else {
+			c.Log.Info().Str("task", result.Task).Int("run", result.Number).Str("vm", v.Name).Str("how", result.Outcome).
+				Msg("result of a run that is not the current one of its task")
 			c.countEarlierFailure(result)
 		}
 		j := c.jobNeedingResults(result.Task)
@@ -194,7 +200,7 @@
 				continue
 			}
 			if ok {
-				c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: x.taskName, Number: x.number}, now)
+				c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: x.taskName, Number: x.number}, "later run in a report", now)
 			}
 			x = c.adoptRun(v, reported, now)
 		}
@@ -207,7 +213,7 @@
 	}
 	for name, x := range v.runs {
 		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number {
-			c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: name, Number: x.number}, now)
+			c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: name, Number: x.number}, "missing in a report", now)
 		}
 	}
 }
@@ -234,8 +240,9 @@
 	return x
 }
 
-// finishRun removes a run from its VM. If the run is needed, it also applies the result to the task.
-func (c *Coordinator) finishRun(x *run, result messenger.RunResult, now time.Time) {
+// finishRun removes a run from its VM. If the run is needed, it also applies the result to the task. evidence says, for the log, from what the
+// owner concluded that the run has ended or never existed.
+func (c *Coordinator) finishRun(x *run, result messenger.RunResult, evidence string, now time.Time) {
 	v := x.vm
 	if v.runs[x.taskName] == x {
 		delete(v.runs, x.taskName)
@@ -254,7 +261,8 @@
 		delete(c.state.runs, x.task)
 	}
 	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", v.Name).Str("how", result.Outcome).Bool("needed", wasNeeded).
-		Bool("ordered", x.stopping).Dur("after", now.Sub(x.knownSince)).Msg("run ended")
+		Bool("ordered", x.stopping).Str("evidence", evidence).Uint64("report", v.reportSequence).Int("sent", x.startsSent).Dur("after", now.Sub(x.knownSince)).
+		Msg("run ended")
 	if !wasNeeded {
 		return
 	}
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -71,6 +71,7 @@
 		a.reportRequests = make(chan struct{}, 1)
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
 		a.fencingToken = 1
+		a.Log.Info().Str("generation", a.Generation).Uint64("token", a.fencingToken).Msg("agent process begins to list runs")
 	}
 }
 
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -125,6 +125,8 @@
 		a.Log.Warn().Err(err).Str("task", s.Task).Int("run", s.Number).Uint64("token", a.fencingToken).Msg("outcome of the start is unknown")
 	}
 	unknown := x.phase == phaseUnknown
+	a.Log.Info().Str("task", s.Task).Int("run", s.Number).Int64("life", a.incarnation).Uint64("token", a.fencingToken).Bool("unknown", unknown).
+		AnErr("error", err).Msg("start calls to the endpoint have ended")
 	a.mutex.Unlock()
 	if unknown {
 		return a.resolveUnknownStart(ctx, x, outcome)
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -102,6 +102,7 @@
 func (a *Attendant) handleListError(err error, q ListQuery) {
 	switch {
 	case errors.Is(err, ErrFenced):
+		a.Log.Info().Uint64("token", q.FencingToken).Int64("life", a.incarnation).Msg("endpoint has seen a higher fencing token")
 		a.fencingToken = max(a.fencingToken, q.FencingToken+fencedTokenStep)
 		return
 	case errors.Is(err, ErrOtherIncarnation):
@@ -178,6 +179,10 @@
 	}
 	now := a.Clock.Now()
 	changed := len(newResults) > 0 || !a.listed || len(a.runs) > 0 && now.Sub(a.measurementsReportedAt) >= measurementReportInterval
+	if !a.listed {
+		a.Log.Info().Int64("life", l.Incarnation).Uint64("token", q.FencingToken).Int("runs", len(l.Runs)).Int("results", len(l.Results)).
+			Msg("first complete list of runs")
+	}
 	a.listed = true
 	if changed {
 		a.measurementsReportedAt = now
