coordinator, attendant: number the agent processes of a VM

Callers could see a task run twice, or never again, when an agent was restarted or a new owner took over while messages or calls were delayed. Causes, all of one kind: messages of one agent process were applied to the knowledge of another. - A restarted agent began with the fencing token of its predecessor or a lower one, so its first list did not keep the predecessor's delayed starts from taking effect, although the owner counted the missing runs as lost. - A report of the earlier process that arrived last passed for one of a new process. - A report composed before the agent knew the new owner counted for that owner, although the agent could still execute orders of the former one. - The response of an earlier process set from which report on a run must be listed. Change: the owner gives each agent process a number that rises within its epoch. Reports count only with the current number, orders name it, and fencing tokens consist of epoch, number and a counter. An agent's list is complete only if it was requested with such a token. A start that may reach the next endpoint process ends only by a complete list, or when it has expired.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -41,6 +41,8 @@
 		owning      bool
 		epoch       uint64
 		takenOverAt time.Time
+		// lastSession is the last number that was given to an agent process in the epoch.
+		lastSession uint64
 		// runsKnown reports whether the owner knows all runs that an earlier owner may have started.
 		runsKnown bool
 		// restoredJobs holds the jobs that were accepted before this entry last became the owner.
@@ -107,7 +109,7 @@
 	defer c.state.mutex.Unlock()
 	now := c.Clock.Now()
 	s := &c.state
-	s.owning, s.epoch, s.takenOverAt, s.runsKnown = true, epoch, now, false
+	s.owning, s.epoch, s.takenOverAt, s.runsKnown, s.lastSession = true, epoch, now, false, 0
 	s.jobs, s.acceptedQueues = bookkeeper.New(), map[string]Queue{}
 	s.vms, s.runs, s.restoredJobs = map[string]*vm{}, map[*bookkeeper.Task]*run{}, map[*bookkeeper.Job]struct{}{}
 	s.pendingSubmissions, s.changedJobs = map[string]*pendingResponse{}, map[*bookkeeper.Job]struct{}{}
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -364,7 +364,7 @@
 					restartedAgent = a
 				}
 			}
-			restartedAgent.generation, restartedAgent.reportSequence, restartedAgent.runsUnlisted = "h", 0, true
+			restartedAgent.restart("h")
 			cluster.takeOver()
 			cluster.simulate(time.Second)
 			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 1}))
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -86,10 +86,11 @@
 type agent struct {
 	name string
 	// generation identifies the agent process, incarnation the endpoint process. reportSequence is the sequence number of the last report, epoch
-	// the highest epoch that the agent knows of.
+	// the highest epoch that the agent knows of, session the number of the agent process in that epoch.
 	generation         string
 	reportSequence     uint64
 	epoch              uint64
+	session            uint64
 	incarnation        int64
 	state              string
 	labels             []string
@@ -122,6 +123,8 @@
 	mayGrantLeases       bool
 	configurationVersion int64
 	queue                coordinator.Queue
+	// beforeResponse, unless nil, is called after an agent has executed starts, before the coordinator receives the response.
+	beforeResponse func(*agent)
 }
 
 func newTestCluster(vms int) *testCluster {
@@ -167,9 +170,9 @@
 	if a.silent {
 		return messenger.OrdersResponse{}, errNoResponse
 	}
-	a.epoch = max(a.epoch, o.Epoch)
+	a.observeEpoch(o.Epoch)
 	response := messenger.OrdersResponse{
-		Accepted: o.Incarnation == a.incarnation && o.Epoch >= a.epoch && a.refusalReason == "", Reason: a.refusalReason, Epoch: a.epoch,
+		Accepted: o.Session == a.session && o.Incarnation == a.incarnation && o.Epoch >= a.epoch && a.refusalReason == "", Reason: a.refusalReason, Epoch: a.epoch,
 	}
 	if !response.Accepted {
 		return response, nil
@@ -192,6 +195,9 @@
 		a.paces[p.Task] = p.Percent
 	}
 	response.Sequence = a.reportSequence + 1
+	if c.beforeResponse != nil && len(o.Starts) > 0 {
+		c.beforeResponse(a)
+	}
 	if a.dropResponses {
 		return messenger.OrdersResponse{}, errNoResponse
 	}
@@ -209,11 +215,34 @@
 	a.nextResultSequence++
 }
 
-// sendReport sends a report of the agent to the coordinator, and removes the run results that are recorded according to the response.
+// observeEpoch stores the epoch if it is higher than the known one. The agent process has no number in that epoch yet.
+func (a *agent) observeEpoch(epoch uint64) {
+	if epoch > a.epoch {
+		a.epoch, a.session = epoch, 0
+	}
+}
+
+// restart replaces the agent process. The new one has the generation, knows no owner, and has listed no runs yet.
+func (a *agent) restart(generation string) {
+	a.generation, a.reportSequence, a.epoch, a.session, a.runsUnlisted = generation, 0, 0, 0, true
+}
+
+// sendReport sends a report of the agent to the coordinator, and removes the run results that are recorded according to the response. If the
+// agent process receives a number or needs another one, it sends the next report at once.
 func (c *testCluster) sendReport(a *agent) messenger.ReportResponse {
+	for {
+		response := c.coordinator.Report(a.composeReport())
+		if !a.processResponse(response) {
+			return response
+		}
+	}
+}
+
+// composeReport returns the next report of the agent.
+func (a *agent) composeReport() messenger.Report {
 	a.reportSequence++
 	r := messenger.Report{
-		VM: a.name, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Incarnation: a.incarnation, Listed: !a.runsUnlisted,
+		VM: a.name, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, Incarnation: a.incarnation, Listed: !a.runsUnlisted,
 		EndpointID: "i-" + a.name, Service: "s",
 		Rack: "r", Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
 	}
@@ -223,12 +252,23 @@
 	if a.runsUnlisted {
 		r.Runs, r.Results = nil, nil
 	}
-	response := c.coordinator.Report(r)
-	a.epoch = max(a.epoch, response.Epoch)
+	return r
+}
+
+// processResponse processes the response to a report. It reports whether the agent process has received a number or needs another one.
+func (a *agent) processResponse(response messenger.ReportResponse) bool {
+	a.observeEpoch(response.Epoch)
+	renumbered := response.Outdated || response.Session != 0 && response.Session != a.session
+	if response.Outdated {
+		a.generation += "-"
+		a.session = 0
+	} else if renumbered {
+		a.session = response.Session
+	}
 	a.results = slices.DeleteFunc(a.results, func(e messenger.RunResult) bool {
 		return response.Incarnation == a.incarnation && e.Sequence <= response.RecordedSequence
 	})
-	return response
+	return renumbered
 }
 
 // simulate lets the given time pass in steps of 100 ms. Agents that are not silent send a report every 200 ms.
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -105,8 +105,11 @@
 	// vm is a VM with all runs that it has or may have. Its name is the address of its agent.
 	vm struct {
 		dispatcher.VM
-		// agentGeneration identifies the agent process, incarnation the endpoint process. incarnation is 0 until it is known.
+		// agentGeneration identifies the agent process, incarnation the endpoint process. incarnation is 0 until it is known. session is the
+		// number that this owner gave to the agent process, or 0 before its first report. identifiedAt is when it was given.
 		agentGeneration string
+		session         uint64
+		identifiedAt    time.Time
 		// reportSequence is the sequence number of the last report. reportSentMS is when that report was sent, in milliseconds since the start
 		// of the agent process.
 		reportSequence uint64
@@ -166,6 +169,9 @@
 		// ended. Otherwise, the run may be missing in a report although its start may still reach the endpoint.
 		expectedInReports bool
 		visibleFrom       uint64
+		// If mayReachNextProcess is set, a copy of the start may still reach the next endpoint process of the VM. Only a complete list of the runs
+		// shows whether it has, or the time after which the start has expired.
+		mayReachNextProcess bool
 		// knownSince is when the run was placed on the VM, or when it was found there.
 		knownSince time.Time
 		// startSentAt is when the start was last sent, or the zero time if it was not sent yet. startsSent is how often it was sent.
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -88,6 +88,9 @@
 			// An earlier owner may have let the agent renew its leases for the time Contact after this epoch began.
 			lastContact, maxSilence = s.takenOverAt, maxSilence+c.Leases.Contact
 		}
+		if v.identifiedAt.After(lastContact) {
+			lastContact = v.identifiedAt
+		}
 		if now.Sub(lastContact) > maxSilence {
 			c.removeLostVM(name, v, now)
 			continue
@@ -146,7 +149,7 @@
 	c.placeTasks(ctx, now)
 	ordersByVM := map[string]messenger.Orders{}
 	for name, v := range s.vms {
-		o := messenger.Orders{Epoch: s.epoch, Owner: c.Address, Incarnation: v.incarnation, ReportSentMS: v.reportSentMS}
+		o := messenger.Orders{Epoch: s.epoch, Owner: c.Address, Session: v.session, Incarnation: v.incarnation, ReportSentMS: v.reportSentMS}
 		if v.lastReportAt.IsZero() {
 			// Even empty orders name the owner, so that the agent knows where to send its reports.
 			if now.Sub(v.announcedAt) > orderRetryInterval {
@@ -307,7 +310,8 @@
 		return
 	}
 	now := c.Clock.Now()
-	if v.incarnation != o.Incarnation {
+	if v.session != o.Session || v.incarnation != o.Incarnation {
+		// The reports of the new agent or endpoint process decide about the runs.
 		return
 	}
 	if !response.Accepted {
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -28,8 +28,13 @@
 		v = c.newVM(r.VM)
 		s.vms[r.VM] = v
 	}
-	response := messenger.ReportResponse{Epoch: s.epoch, Granted: granted, Incarnation: r.Incarnation, RecordedSequence: v.recordedSequenceFor(r.Incarnation)}
-	if r.Generation == v.agentGeneration && r.Sequence <= v.reportSequence {
+	if r.Epoch < s.epoch || r.Session == 0 || r.Session != v.session {
+		return c.identifyAgent(v, r)
+	}
+	response := messenger.ReportResponse{
+		Epoch: s.epoch, Session: v.session, Granted: granted, Incarnation: r.Incarnation, RecordedSequence: v.recordedSequenceFor(r.Incarnation),
+	}
+	if r.Sequence <= v.reportSequence {
 		return response
 	}
 	now := c.Clock.Now()
@@ -47,6 +52,36 @@
 	return response
 }
 
+// identifyAgent responds to a report whose sender has not proved that it is the current agent process of the VM. Such a report is not processed:
+// it may have been composed before the agent heard of this epoch, or by an earlier agent process, and its runs may then be outdated. A process
+// without a number gets the next one, which is above those of all earlier processes. A process with an outdated number gets none.
+func (c *Coordinator) identifyAgent(v *vm, r messenger.Report) messenger.ReportResponse {
+	s := &c.state
+	response := messenger.ReportResponse{Epoch: s.epoch}
+	if r.Epoch == s.epoch && r.Session != 0 {
+		c.Log.Warn().Str("vm", v.Name).Str("generation", r.Generation).Uint64("session", r.Session).Uint64("current", v.session).
+			Msg("ignored the report of an earlier agent process")
+		response.Outdated = true
+		return response
+	}
+	if r.Generation != v.agentGeneration {
+		now := c.Clock.Now()
+		s.lastSession++
+		c.Log.Info().Str("vm", v.Name).Str("generation", r.Generation).Str("before", v.agentGeneration).Uint64("report", r.Sequence).
+			Uint64("agent-epoch", r.Epoch).Uint64("session", s.lastSession).Int("runs", len(v.runs)).Msg("first report of an agent process")
+		// The first complete list of the new process shows which of the sent starts have reached the endpoint, including those to which the
+		// previous agent process did not respond. The confirmed pace 0 makes the owner send every pace above 0 again.
+		for _, x := range v.runs {
+			x.mayReachNextProcess = x.mayReachNextProcess || !x.expectedInReports
+			x.expectedInReports, x.visibleFrom, x.confirmedPace = true, 0, 0
+		}
+		v.agentGeneration, v.session, v.identifiedAt = r.Generation, s.lastSession, now
+		v.reportSequence, v.runsListed = 0, false
+	}
+	response.Session = v.session
+	return response
+}
+
 // newVM returns a VM without runs.
 func (c *Coordinator) newVM(name string) *vm {
 	return &vm{
@@ -57,22 +92,12 @@
 
 // updateVM updates the VM from a report, except for its runs.
 func (c *Coordinator) updateVM(v *vm, r messenger.Report, now time.Time) {
-	if r.Generation != v.agentGeneration {
-		c.Log.Info().Str("vm", v.Name).Str("generation", r.Generation).Str("before", v.agentGeneration).Uint64("report", r.Sequence).
-			Uint64("agent-epoch", r.Epoch).Int("runs", len(v.runs)).Msg("first report of an agent process")
-	}
-	if r.Generation != v.agentGeneration && v.agentGeneration != "" {
-		// The agent was restarted. Its first complete list of runs shows which of the sent starts have reached the endpoint, including those to
-		// which the previous agent process did not respond. The confirmed pace 0 makes the owner send every pace above 0 again.
-		for _, x := range v.runs {
-			x.expectedInReports, x.visibleFrom, x.confirmedPace = true, 0, 0
-		}
-	}
 	if v.incarnation != 0 && r.Incarnation != 0 && r.Incarnation != v.incarnation {
 		c.Log.Info().Str("vm", v.Name).Int64("life", r.Incarnation).Int64("before", v.incarnation).Msg("endpoint process was replaced")
 		for _, x := range v.runs {
 			// A start that was sent before may have reached the new process. Its first complete list of runs then contains the run. All other
 			// runs have ended.
+			x.mayReachNextProcess = x.mayReachNextProcess || !x.expectedInReports
 			x.expectedInReports, x.visibleFrom, x.confirmedPace = true, 0, pacer.FullPercent
 		}
 		v.processedSequence, v.recordedSequence, v.unrecordedSequences = 0, 0, map[int64]struct{}{}
@@ -86,7 +111,7 @@
 		c.Log.Info().Str("vm", v.Name).Str("state", r.State).Str("before", v.reportedState).Bool("listed", r.Listed).Int64("life", r.Incarnation).
 			Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
 	}
-	v.agentGeneration, v.reportSequence, v.reportSentMS, v.lastReportAt = r.Generation, r.Sequence, r.SentMS, now
+	v.reportSequence, v.reportSentMS, v.lastReportAt = r.Sequence, r.SentMS, now
 	v.reportedState, v.runsListed, v.remainingTime = r.State, r.Listed, r.RemainingTime
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
@@ -204,7 +229,7 @@
 			}
 			x = c.adoptRun(v, reported, now)
 		}
-		x.expectedInReports = true
+		x.expectedInReports, x.mayReachNextProcess = true, false
 		if x.settling && x.needed && x.stopsSent == 0 {
 			x.stopping, x.settling = false, false
 		}
@@ -215,6 +240,9 @@
 		x.lastReport = reported
 	}
 	for name, x := range v.runs {
+		if !r.Listed && x.mayReachNextProcess && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
+			continue
+		}
 		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number {
 			c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: name, Number: x.number}, "missing in a report", now)
 		}
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -88,7 +88,8 @@
 	It("does not wait for a restarted agent that reports that its endpoint process has ended", func() {
 		submit(twoStepJob)
 		a := cluster.agents["vm-2"]
-		a.state, a.runsUnlisted, a.generation, a.reportSequence = messenger.VMNotListening, true, "h", 0
+		a.restart("h")
+		a.state = messenger.VMNotListening
 		cluster.takeOver()
 		cluster.simulate(600 * time.Millisecond)
 		Expect(cluster.countRuns()).To(HaveLen(2))
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -209,14 +209,16 @@
 }
 
 // handleReport passes an agent's report to the coordinator. The response names the current owner and all entries. If this entry
-// is not the owner, the response does not permit the agent to renew leases.
+// is not the owner, or if the coordinator does not own the jobs in the current epoch yet, the response neither permits the agent to renew
+// leases nor numbers its process.
 func (e *platformEntry) handleReport(r messenger.Report) messenger.ReportResponse {
 	e.elector.ObserveEpoch(r.Epoch, "")
 	response := e.coordinator.Report(r)
+	ownedEpoch := response.Epoch
 	response.Owner, response.Epoch = e.elector.Owner()
 	response.Entries = e.elector.Entries()
-	if response.Owner != e.settings.PeerAddress {
-		response.Granted = false
+	if response.Owner != e.settings.PeerAddress || response.Epoch != ownedEpoch {
+		response.Granted, response.Session, response.Outdated = false, 0, false
 	}
 	return response
 }
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,9 +18,10 @@
 	reportTimeout = 600 * time.Millisecond
 	// ownerRetryPause is the time between two reports while no owner accepts them.
 	ownerRetryPause = 60 * time.Millisecond
-	// tokensPerEpoch is the number of fencing tokens reserved for each epoch. The first token of an epoch is the epoch times this
-	// number, so that the agent's calls for a later epoch carry a higher token.
-	tokensPerEpoch = 1000
+	// A fencing token consists of the epoch, the session and a counter, from the highest bits to the lowest. So the tokens of an agent process
+	// are above those of all earlier processes of its VM. JSON numbers are exact up to 53 bits, which leaves 17 for the epoch.
+	sessionBits = 20
+	counterBits = 16
 )
 
 // Run polls the endpoint for its runs and sends reports about them to the owner until ctx is done.
@@ -41,7 +44,7 @@
 	}
 	a.heartbeat = h
 	if h.Incarnation != previous.Incarnation {
-		a.deregistered = false
+		a.deregistered, a.rejectedToken = false, 0
 	}
 	if h.Draining != previous.Draining || h.EndpointID != previous.EndpointID || h.Incarnation != previous.Incarnation {
 		a.Log.Info().Str("endpoint", h.EndpointID).Int64("life", h.Incarnation).Bool("draining", h.Draining).Dur("remaining", h.RemainingTime).
@@ -67,10 +70,10 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.reportRequests == nil {
-		a.startedAt = a.Clock.Now()
+		a.startedAt, a.generation = a.Clock.Now(), a.Generation
 		a.reportRequests = make(chan struct{}, 1)
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
-		a.fencingToken = 1
+		a.fencingToken, a.decisiveToken = 1, math.MaxUint64
 		a.Log.Info().Str("generation", a.Generation).Uint64("token", a.fencingToken).Msg("agent process begins to list runs")
 	}
 }
@@ -155,6 +158,7 @@
 	if response.Epoch < a.epoch || response.Owner != target {
 		return false
 	}
+	a.updateSession(response, r)
 	if response.Granted {
 		if until := sentAt.Add(a.LeaseDurations.Grant); until.After(a.grantedUntil) {
 			a.grantedUntil = until
@@ -173,7 +177,7 @@
 	now, h := a.Clock.Now(), a.heartbeat
 	a.reportSequence++
 	r := messenger.Report{
-		VM: a.Address, Generation: a.Generation, Sequence: a.reportSequence, Epoch: a.epoch, SentMS: a.millisSinceProcessStart(now), Incarnation: a.incarnation,
+		VM: a.Address, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, SentMS: a.millisSinceProcessStart(now), Incarnation: a.incarnation,
 		State: messenger.VMUnknown, Listed: a.listed, Results: a.pendingResults[:len(a.pendingResults):len(a.pendingResults)],
 	}
 	if h.Incarnation == a.incarnation && a.incarnation != 0 {
@@ -199,7 +203,7 @@
 	}
 	a.Log.Info().Uint64("epoch", epoch).Str("owner", owner).Uint64("before", a.epoch).Msg("new owner of the jobs observed")
 	if epoch > a.epoch {
-		a.fencingToken = max(a.fencingToken+1, epoch*tokensPerEpoch)
+		a.session = 0
 	}
 	a.epoch, a.owner = epoch, owner
 	if a.cancelReport != nil {
@@ -209,6 +213,40 @@
 	}
 }
 
+// updateSession stores the number that the owner has given to this agent process in response to the report r. If a later process of the VM
+// has received a number, this process acts like a new one. The caller holds the mutex.
+func (a *Attendant) updateSession(response messenger.ReportResponse, r messenger.Report) {
+	switch {
+	case response.Outdated && r.Epoch == a.epoch && r.Session == a.session:
+		a.renewGeneration("a later agent process of the VM is known")
+	case response.Session != 0 && response.Session != a.session && r.Generation == a.generation:
+		a.session = response.Session
+		a.fencingToken = max(a.fencingToken+1, a.epoch<<(sessionBits+counterBits)|a.session<<counterBits)
+		a.decisiveToken = min(a.decisiveToken, a.fencingToken)
+		a.Log.Info().Uint64("epoch", a.epoch).Uint64("session", a.session).Uint64("token", a.fencingToken).Msg("the owner has numbered this agent process")
+		a.requestReport()
+	}
+}
+
+// renewGeneration makes this process act like a new agent process: it requests a new number from the owner, and counts the runs as unlisted
+// until the endpoint has listed them under the token of that number. The caller holds the mutex.
+func (a *Attendant) renewGeneration(reason string) {
+	a.renewals++
+	a.generation = a.Generation + "-" + strconv.Itoa(a.renewals)
+	a.session, a.listed, a.decisiveToken = 0, false, math.MaxUint64
+	a.Log.Warn().Str("generation", a.generation).Str("reason", reason).Msg("agent process requests a new number from the owner")
+	a.requestReport()
+}
+
+// raiseToken raises the fencing token, so that the endpoint does not execute earlier calls after it has received the next list request. The
+// caller holds the mutex.
+func (a *Attendant) raiseToken() {
+	a.fencingToken++
+	if a.session != 0 && a.fencingToken>>counterBits != a.epoch<<sessionBits|a.session {
+		a.renewGeneration("the tokens of the number are used up")
+	}
+}
+
 // discoverEntries calls DiscoverEntries in the background, because the call may take longer than the interval between two reports.
 func (a *Attendant) discoverEntries(ctx context.Context) {
 	a.mutex.Lock()
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -23,6 +23,8 @@
 		a *attendant.Attendant
 		// discoveryStarted is set when the agent has called DiscoverEntries. That call does not return before the test ends.
 		discoveryStarted *atomic.Bool
+		// stop ends the agent process and returns when it has ended.
+		stop func()
 	)
 	size := resource.Amount{MilliProcessors: 600, MemoryBytes: 60}
 	sendHeartbeat := func() {
@@ -34,7 +36,7 @@
 	}
 	orders := func(starts ...messenger.Start) messenger.Orders {
 		r := o.report()
-		return messenger.Orders{Epoch: o.epoch, Owner: o.address, Incarnation: r.Incarnation, ReportSentMS: r.SentMS, Starts: starts}
+		return messenger.Orders{Epoch: o.epoch, Owner: o.address, Session: r.Session, Incarnation: r.Incarnation, ReportSentMS: r.SentMS, Starts: starts}
 	}
 	start := func(taskName string, number int) messenger.Start {
 		return messenger.Start{Task: taskName, Number: number, Size: size}
@@ -60,7 +62,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { defer close(ended); _ = a.Run(ctx) }()
-		DeferCleanup(func() { cancel(); <-ended })
+		stop = func() { cancel(); <-ended }
+		DeferCleanup(stop)
 		Eventually(func() int64 { return o.report().Incarnation }).Should(Equal(e.incarnation))
 		sendHeartbeat()
 		awaitGrant()
@@ -89,7 +92,8 @@
 		before func()
 		reason string
 	}{
-		"a lower epoch": {func(o *messenger.Orders) { o.Epoch = 2 }, nil, attendant.ReasonOlderEpoch},
+		"a lower epoch":                               {func(o *messenger.Orders) { o.Epoch = 2 }, nil, attendant.ReasonOlderEpoch},
+		"the number of another agent process":         {func(o *messenger.Orders) { o.Session++ }, nil, attendant.ReasonOtherSession},
 		"the incarnation of another endpoint process": {func(o *messenger.Orders) { o.Incarnation-- }, nil, attendant.ReasonOtherIncarnation},
 		"a start based on an old report":              {func(o *messenger.Orders) { o.ReportSentMS -= 2500 }, nil, attendant.ReasonStaleReport},
 	} {
@@ -172,6 +176,29 @@
 		Eventually(first).Should(Receive())
 	})
 
+	// Guards against a restarted agent that counts its first list of runs as complete, although a start of its predecessor takes effect later.
+	It("lists the runs under a token that keeps delayed starts of earlier agent processes from taking effect", func() {
+		lastToken := func() uint64 { e.mutex.Lock(); defer e.mutex.Unlock(); return e.queries[len(e.queries)-1].FencingToken }
+		Eventually(lastToken).Should(BeNumerically(">", 100))
+		stop()
+		e.mutex.Lock()
+		// The predecessor has raised its token a few times since the endpoint has last seen it.
+		token := e.queries[len(e.queries)-1].FencingToken + 5
+		e.delayedStarts = append(e.delayedStarts, attendant.StartCall{EndpointID: "e", FencingToken: token, Start: start(task, 1)})
+		e.mutex.Unlock()
+		successor := &attendant.Attendant{
+			Address: "vm", Generation: "h", Endpoint: e, Reporter: o, Clock: boottimer.Clock{}, Log: zerolog.Nop(), LeaseDurations: a.LeaseDurations,
+			Seeds: []string{"owner"},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = successor.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-ended })
+		Eventually(func() bool { r := o.report(); return r.Generation == "h" && r.Listed }).Should(BeTrue())
+		Expect(o.report().Runs).To(BeEmpty())
+		Expect(e.executeDelayedStarts()).To(BeZero())
+	})
+
 	It("reports no runs after the endpoint process was replaced", func() {
 		a.HandleOrders(ctx, orders(start(task, 1)))
 		e.replace()
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -186,6 +186,9 @@
 	lastReport       messenger.Report
 	// reportCount counts the reports that the owner has received since a test has set it to 0.
 	reportCount int
+	// generation identifies the agent process that sent the last report, lastSession is its number.
+	generation  string
+	lastSession uint64
 	// unresponsiveAddress is the address of an entry that never responds.
 	unresponsiveAddress string
 	// reportsWithoutRuns counts the received reports without runs since a test has set it to 0.
@@ -208,7 +211,18 @@
 		o.reportsWithoutRuns++
 	}
 	o.reportCount++
-	return messenger.ReportResponse{Owner: o.address, Epoch: o.epoch, Granted: true, Incarnation: r.Incarnation, RecordedSequence: o.recordedSequence}, nil
+	return messenger.ReportResponse{
+		Owner: o.address, Epoch: o.epoch, Session: o.session(r), Granted: true, Incarnation: r.Incarnation, RecordedSequence: o.recordedSequence,
+	}, nil
+}
+
+// session returns the number of the agent process that has sent the report. The caller holds the mutex.
+func (o *reporter) session(r messenger.Report) uint64 {
+	if r.Generation != o.generation {
+		o.generation = r.Generation
+		o.lastSession++
+	}
+	return o.lastSession
 }
 
 func (o *reporter) report() messenger.Report {
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -162,13 +162,24 @@
 		// shutdown.
 		heartbeat    Heartbeat
 		deregistered bool
-		// fencingToken is sent with each call to the endpoint, which rejects a token that is lower than one that it has seen.
-		fencingToken uint64
+		// generation is Generation, with a suffix after the process has acted like a new one. renewals is how often it has done so.
+		generation string
+		renewals   int
+		// session is the number of this process from the owner of the epoch, or 0 while it has none.
+		session uint64
+		// fencingToken is sent with each call to the endpoint, which rejects a token that is lower than one that it has seen. rejectedToken is
+		// the last one that it has rejected.
+		fencingToken  uint64
+		rejectedToken uint64
+		// decisiveToken is the lowest fencing token of a list request whose response contains all runs: starts of earlier agent processes, and
+		// those sent before the endpoint process was detected, carry lower tokens.
+		decisiveToken uint64
 		// lastAppliedRequestAt is the time at which the agent sent the list request for the last applied listing.
 		lastAppliedRequestAt time.Time
 		// incarnation is the start time of the current endpoint process in Unix milliseconds, or 0 before its first response.
 		incarnation int64
-		// listed reports whether runs and pendingResults contain what the current endpoint process has listed.
+		// listed reports whether runs and pendingResults contain what the current endpoint process has listed in response to a list request with
+		// the decisive token or a higher one.
 		listed bool
 		// endpointClockMS is the time of the endpoint's clock when this agent's clock showed endpointClockReadAt.
 		endpointClockMS     int64
@@ -200,8 +211,9 @@
 		// although it runs.
 		confirmedAt time.Time
 		// decisiveToken is the lowest fencing token of a list request whose response proves whether a start with an unknown outcome
-		// took effect.
+		// took effect. absent reports that such a response did not contain the run.
 		decisiveToken uint64
+		absent        bool
 	}
 
 	phase int
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -20,6 +20,7 @@
 // Reasons for rejecting orders or refusing starts. ReasonEndpointRefused and ReasonNotRunning are reserved: the agent never returns them.
 const (
 	ReasonOlderEpoch       = "older-epoch"
+	ReasonOtherSession     = "other-agent-process"
 	ReasonOtherIncarnation = "other-life"
 	ReasonNotListed        = "not-listed"
 	ReasonStaleReport      = "report-too-old"
@@ -33,8 +34,8 @@
 )
 
 // HandleOrders executes the orders of an owner and returns when all of its calls to the endpoint have ended. It rejects all of the orders
-// if the owner's epoch is lower than the highest known one, if they refer to another endpoint process, or if the agent hasn't received a
-// list of the runs from this process yet. It also rejects all of them if they contain starts and are based on an old report, or if they
+// if the owner's epoch is lower than the highest known one, if they are meant for another agent process or refer to another endpoint process,
+// or if the agent hasn't received a complete list of the runs from this process yet. It also rejects all of them if they contain starts and are based on an old report, or if they
 // contain starts while the agent has no grant to renew leases.
 func (a *Attendant) HandleOrders(ctx context.Context, o messenger.Orders) messenger.OrdersResponse {
 	a.mutex.Lock()
@@ -77,6 +78,8 @@
 		a.requestReport()
 	}
 	switch {
+	case o.Session != a.session || a.session == 0:
+		return ReasonOtherSession
 	case o.Incarnation != a.incarnation:
 		return ReasonOtherIncarnation
 	case !a.listed:
@@ -102,7 +105,7 @@
 	var err error
 	earlierAttemptsFenced := true
 	for range maxStartAttempts {
-		if err = a.sendStart(ctx, s); err == nil || isFinalRejection(err) {
+		if err = a.sendStart(ctx, x, s); err == nil || isFinalRejection(err) {
 			break
 		}
 		earlierAttemptsFenced = earlierAttemptsFenced && errors.Is(err, ErrFenced)
@@ -120,7 +123,7 @@
 	default:
 		// The next list request carries a higher fencing token, which keeps the endpoint from executing the start later. Its
 		// response therefore shows whether the run exists.
-		a.fencingToken++
+		a.raiseToken()
 		x.phase, x.decisiveToken = phaseUnknown, a.fencingToken
 		a.Log.Warn().Err(err).Str("task", s.Task).Int("run", s.Number).Uint64("token", a.fencingToken).Msg("outcome of the start is unknown")
 	}
@@ -196,9 +199,14 @@
 	}
 }
 
-// sendStart sends a start to the endpoint once. It returns ErrRefused without sending it if the agent has no grant to renew leases.
-func (a *Attendant) sendStart(ctx context.Context, s messenger.Start) error {
+// sendStart sends the start of the run x to the endpoint once. Without sending it, it returns ErrRefused if the agent has no grant to renew
+// leases, and ErrOtherIncarnation if the endpoint process for which the run was ordered has been replaced.
+func (a *Attendant) sendStart(ctx context.Context, x *run, s messenger.Start) error {
 	a.mutex.Lock()
+	if a.runs[s.Task] != x {
+		a.mutex.Unlock()
+		return ErrOtherIncarnation
+	}
 	now := a.Clock.Now()
 	c := StartCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, DeadlineMS: a.leaseDeadlineMS(now), Start: s}
 	granted := now.Before(a.grantedUntil)
@@ -214,7 +222,9 @@
 	if errors.Is(err, ErrFenced) {
 		// Another call with a higher token has reached the endpoint in the meantime. The next attempt uses a higher token.
 		a.mutex.Lock()
-		a.fencingToken = max(a.fencingToken, c.FencingToken+1)
+		if a.fencingToken == c.FencingToken {
+			a.raiseToken()
+		}
 		a.mutex.Unlock()
 	}
 	return err
@@ -226,20 +236,18 @@
 	a.list(ctx, 0)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	outcome.Reason = "no-answer"
-	switch {
-	case a.runs[x.Task] != x:
-		// The run does not exist, or it has ended and the pending results contain its result.
-		outcome.Outcome = messenger.StartRefused
-		for _, r := range a.pendingResults {
-			if r.Task == x.Task && r.Number == x.Number {
-				outcome.Outcome = messenger.StartDone
-			}
+	outcome.Outcome, outcome.Reason = messenger.StartUnknown, "no-answer"
+	for _, r := range a.pendingResults {
+		if r.Task == x.Task && r.Number == x.Number {
+			outcome.Outcome = messenger.StartDone
 		}
-	case x.phase == phaseRunning:
+	}
+	known, ok := a.runs[x.Task]
+	switch {
+	case ok && known.Number == x.Number && known.phase == phaseRunning:
 		outcome.Outcome = messenger.StartDone
-	default:
-		outcome.Outcome = messenger.StartUnknown
+	case x.absent:
+		outcome.Outcome = messenger.StartRefused
 	}
 	return outcome
 }
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"bamboohook/internal/fleet/sleeper"
@@ -27,22 +28,42 @@
 	// maxRefusedConnections is the number of list requests in a row with a refused connection after which the endpoint process counts
 	// as ended.
 	maxRefusedConnections = 3
-	// fencedTokenStep is added to the fencing token if the endpoint has rejected it because it has seen a higher one, which an earlier
-	// agent process used.
-	fencedTokenStep = 1000
+	// unlistedPause is the time between list requests while the runs are not listed, for example because the owner has not numbered the agent
+	// process yet.
+	unlistedPause = 20 * time.Millisecond
 )
 
 // listLoop sends list requests to the endpoint, one at a time, until ctx is done.
 func (a *Attendant) listLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !a.list(ctx, a.listWait()) {
+		switch {
+		case a.tokenRejected():
+			// The owner will give this process a higher one.
+			sleeper.Sleep(ctx, unlistedPause)
+		case !a.list(ctx, a.listWait()):
 			sleeper.Sleep(ctx, listRetryPause)
-		} else if a.hasPendingResults() {
+		case !a.hasListed():
+			sleeper.Sleep(ctx, unlistedPause)
+		case a.hasPendingResults():
 			sleeper.Sleep(ctx, pendingResultsPause)
 		}
 	}
 }
 
+// tokenRejected reports whether the endpoint process has rejected the current fencing token because it has seen a higher one.
+func (a *Attendant) tokenRejected() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.fencingToken <= a.rejectedToken
+}
+
+// hasListed reports whether the runs of the endpoint process are known.
+func (a *Attendant) hasListed() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.listed
+}
+
 // hasPendingResults reports whether there are run results that the owner has not recorded yet.
 func (a *Attendant) hasPendingResults() bool {
 	a.mutex.Lock()
@@ -102,8 +123,12 @@
 func (a *Attendant) handleListError(err error, q ListQuery) {
 	switch {
 	case errors.Is(err, ErrFenced):
-		a.Log.Info().Uint64("token", q.FencingToken).Int64("life", a.incarnation).Msg("endpoint has seen a higher fencing token")
-		a.fencingToken = max(a.fencingToken, q.FencingToken+fencedTokenStep)
+		a.Log.Info().Uint64("token", q.FencingToken).Uint64("session", a.session).Int64("life", a.incarnation).
+			Msg("endpoint has seen a higher fencing token")
+		a.rejectedToken = max(a.rejectedToken, q.FencingToken)
+		if a.session != 0 && a.fencingToken == q.FencingToken {
+			a.renewGeneration("another agent process has used a higher token")
+		}
 		return
 	case errors.Is(err, ErrOtherIncarnation):
 		// The next heartbeat contains the ID of the new endpoint process. Until then the list requests accept any process.
@@ -145,7 +170,14 @@
 		a.incarnation, a.listed, a.recordedSequence, a.lastResultSequence = l.Incarnation, false, 0, 0
 		a.runs, a.highestStopped, a.pendingResults = map[string]*run{}, map[string]int{}, nil
 		// Calls in progress carry a lower token, so the endpoint rejects them once it has received the next list request.
-		a.fencingToken++
+		a.raiseToken()
+		if a.decisiveToken != math.MaxUint64 {
+			a.decisiveToken = a.fencingToken
+		}
+		return
+	}
+	if q.FencingToken < a.decisiveToken {
+		// A start with a token between the two may still take effect.
 		return
 	}
 	newResults := map[string]int{}
@@ -174,6 +206,7 @@
 	}
 	for task, x := range a.runs {
 		if _, ok := listedTasks[task]; !ok && x.isCertainlyAbsent(q, sentAt) {
+			x.absent = true
 			delete(a.runs, task)
 		}
 	}
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -70,6 +70,8 @@
 		Sequence   uint64 `json:"sequence"`
 		// Epoch is the highest epoch that the agent knows of.
 		Epoch uint64 `json:"epoch"`
+		// Session is the number that the owner of Epoch has given to the agent process, or 0 if the process has received none.
+		Session uint64 `json:"session,omitempty"`
 		// SentMS is when the report was sent, in milliseconds since the start of the agent process.
 		SentMS int64 `json:"sent"`
 		// Incarnation identifies the endpoint process by its start time in Unix milliseconds. It is 0 if unknown.
@@ -82,8 +84,8 @@
 		Capacity    resource.Amount `json:"capacity"`
 		// State is VMUp, VMDraining, VMUnknown or VMNotListening.
 		State string `json:"state"`
-		// Listed reports whether Runs and Results are complete, that is, whether the current endpoint process has listed its runs
-		// and run results to the agent.
+		// Listed reports whether Runs and Results are complete: the current endpoint process has listed its runs and run results to the
+		// agent, and no start of an earlier agent process can take effect after that.
 		Listed bool `json:"listed"`
 		// RemainingTime is the minimum time that a draining VM keeps running.
 		RemainingTime time.Duration `json:"remaining,omitempty"`
@@ -121,6 +123,10 @@
 		// Owner is the address of the owner, and Epoch its epoch. Owner is empty if none is known.
 		Owner string `json:"owner"`
 		Epoch uint64 `json:"epoch"`
+		// Session is the number of the agent process, or 0 if the entry is not the owner. The owner gives the processes of a VM rising numbers.
+		// Outdated means that a later process of the VM has received a number, so that the sender must act like a new process.
+		Session  uint64 `json:"session,omitempty"`
+		Outdated bool   `json:"outdated,omitempty"`
 		// Granted permits the agent to renew the leases of runs for a limited time, which both sides are configured with. The time
 		// counts from the sending of the report.
 		Granted bool `json:"granted"`
@@ -132,11 +138,12 @@
 		Entries []string `json:"entries,omitempty"`
 	}
 
-	// Orders are the changes that the owner of an epoch requests from an agent. All of them refer to the endpoint process with the
-	// incarnation.
+	// Orders are the changes that the owner of an epoch requests from an agent process, which has the number Session. All of them refer to
+	// the endpoint process with the incarnation.
 	Orders struct {
 		Epoch       uint64 `json:"epoch"`
 		Owner       string `json:"owner"`
+		Session     uint64 `json:"session,omitempty"`
 		Incarnation int64  `json:"life"`
 		// ReportSentMS is SentMS of the report on which the owner has based the orders. The agent rejects starts based on an old
 		// report.
