coordinator: a run that was no longer current completes its task

Change: the done result of any run completes the task, and the current runs that this makes superfluous are stopped; failures count as before.

--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -354,6 +354,35 @@
 			Expect(cluster.countRuns()).To(BeEmpty())
 		})
 
+		// Guards against a task that is executed twice in full. An earlier run may have completed it, which is reported while a later run
+		// continues.
+		It("completes a task by an earlier run that is reported while a later run continues, and stops the later run", func() {
+			submit(twoStepJob("a"))
+			cluster.simulate(200 * time.Millisecond)
+			var lateAgent *agent
+			for _, a := range cluster.agents {
+				if len(a.runs) > 0 {
+					lateAgent = a
+				}
+			}
+			lateTasks := len(lateAgent.runs)
+			lateAgent.silent = true
+			for task := range lateAgent.runs {
+				lateAgent.finishRun(task, messenger.RunDone)
+			}
+			cluster.simulate(7 * time.Second)
+			Expect(cluster.countRuns()).To(HaveLen(3), "the later runs")
+			lateAgent.silent = false
+			cluster.simulate(time.Second)
+			Expect(cluster.countRuns()).To(HaveLen(3 - lateTasks))
+			cluster.finishAllRuns(messenger.RunDone)
+			cluster.simulate(400 * time.Millisecond)
+			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.1.0": 1}))
+			cluster.finishAllRuns(messenger.RunDone)
+			cluster.simulate(400 * time.Millisecond)
+			Expect(jobState("a")).To(Equal("completed"))
+		})
+
 		// Guards against a second run of a task while the first run continues at its endpoint, but the restarted agent has not listed it yet.
 		It("after a takeover, waits for an agent that has not listed the runs at its endpoint, but only for a limited time", func() {
 			submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -151,7 +151,7 @@
 		} else {
 			c.Log.Info().Str("task", result.Task).Int("run", result.Number).Str("vm", v.Name).Str("how", result.Outcome).
 				Msg("result of a run that is not the current one of its task")
-			c.countEarlierFailure(result)
+			c.applyEarlierResult(result)
 		}
 		j := c.jobNeedingResults(result.Task)
 		if j == nil {
@@ -164,18 +164,34 @@
 	}
 }
 
-// countEarlierFailure counts a reported failure of a run that is not the current run of its task any more.
-func (c *Coordinator) countEarlierFailure(result messenger.RunResult) {
+// applyEarlierResult applies the result of a run that is not the current run of its task. A failure counts. A run that has completed the task
+// makes the current run superfluous, which is then stopped. So are the current runs of the other tasks in a gang.
+func (c *Coordinator) applyEarlierResult(result messenger.RunResult) {
 	id, ok := job.ParseTask(result.Task)
-	if !ok || result.Outcome != messenger.RunFailed {
+	if !ok {
 		return
 	}
 	t := c.state.jobs.Task(id)
 	if t == nil || t.IsDone() || !t.Step.Job.Live() {
 		return
 	}
-	c.state.jobs.RunFailed(t, result.Number, c.queueOf(t.Step.Job).Attempts, c.WallClock.Now())
-	c.Log.Info().Str("task", result.Task).Int("run", result.Number).Int("failures", t.Failures()).Msg("counted the failure of an earlier run of a task")
+	switch result.Outcome {
+	case messenger.RunFailed:
+		c.state.jobs.RunFailed(t, result.Number, c.queueOf(t.Step.Job).Attempts, c.WallClock.Now())
+		c.Log.Info().Str("task", result.Task).Int("run", result.Number).Int("failures", t.Failures()).Msg("counted the failure of an earlier run of a task")
+	case messenger.RunDone:
+		if t.Step.LongRunning {
+			return
+		}
+		c.state.jobs.TaskDone(t, c.WallClock.Now())
+		c.Log.Info().Str("task", result.Task).Int("run", result.Number).Msg("an earlier run has completed a task")
+		for _, member := range t.Step.Tasks {
+			if x := c.state.runs[member]; x != nil && member.IsDone() {
+				x.needed, x.stopping = false, true
+				delete(c.state.runs, member)
+			}
+		}
+	}
 	if !t.Step.Job.Live() {
 		c.stopRunsOf(t.Step.Job)
 	}
