coordinator, bookkeeper: a job has started once a run of it is confirmed

Callers could read that no job waits, and the state running, while nothing of the job had begun: the owner counted a job as started as soon as it had chosen a VM for a task, and kept that when the start was refused or had no known outcome. Change: RunOrdered records an ordered start; the job has started when a response, a report or a result shows a run. Agents mark runs whose start has no response yet. Measured: the new test failed on the code before (0 jobs waiting instead of 1).

--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// HasStarted reports whether a start of a task of the job was ever ordered, or a run of one was found.
+// HasStarted reports whether a run of one of the job's tasks has started or was found.
 func (j *Job) HasStarted() bool { return j.started }
 
 // EndedAt returns when the job ended, or the zero time if it is live.
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -38,7 +38,7 @@
 		nextOccurrence int
 		// finishedOccurrences is the number of occurrences whose tasks are all done.
 		finishedOccurrences int
-		// started reports whether a start of a task of the job was ever ordered, or a run of one was found.
+		// started reports whether a run of one of the job's tasks has started or was found.
 		started bool
 		state   string
 		endedAt time.Time
@@ -86,8 +86,8 @@
 		// waiting reports whether the task waits for its next start, running whether a run of the task was started or found and has not ended.
 		waiting bool
 		running bool
-		// startedOrFound reports whether RunStarted was called for the task under the current owner.
-		startedOrFound bool
+		// orderedOrFound reports whether RunOrdered or RunStarted was called for the task under the current owner.
+		orderedOrFound bool
 		// waitingSince is when the task last began to wait for its start.
 		waitingSince time.Time
 	}
@@ -182,7 +182,7 @@
 		}
 		s.ready, s.readyAt = true, now
 		s.notStartedByEarlierOwners = slices.ContainsFunc(s.After, func(n int) bool {
-			return o.steps[n].notStartedByEarlierOwners || slices.ContainsFunc(o.steps[n].Tasks, (*Task).wasStartedOrFound)
+			return o.steps[n].notStartedByEarlierOwners || slices.ContainsFunc(o.steps[n].Tasks, (*Task).wasOrderedOrFound)
 		})
 		for _, t := range s.Tasks {
 			// An earlier owner may have started the task. The current owner may have found that run before it learned that the step is ready.
@@ -220,10 +220,15 @@
 	}
 }
 
-// RunStarted records that the start of a run of the task was ordered, or that a run was found on a VM.
-func (b *Bookkeeper) RunStarted(t *Task, number int) {
-	t.waiting, t.running, t.startedOrFound = false, true, true
+// RunOrdered records that the start of a run of the task was ordered. The run may not exist, so the job has not started yet.
+func (b *Bookkeeper) RunOrdered(t *Task, number int) {
+	t.waiting, t.running, t.orderedOrFound = false, true, true
 	t.lastRunNumber = max(t.lastRunNumber, number)
+}
+
+// RunStarted records that a run of the task has started, or that one was found on a VM.
+func (b *Bookkeeper) RunStarted(t *Task, number int) {
+	b.RunOrdered(t, number)
 	j := t.Step.Job
 	j.started = true
 	if j.state == StateQueued {
@@ -312,7 +317,7 @@
 	return true
 }
 
-func (t *Task) wasStartedOrFound() bool { return t.startedOrFound }
+func (t *Task) wasOrderedOrFound() bool { return t.orderedOrFound }
 
 // endJob ends the job in the state. Its tasks no longer wait.
 func (b *Bookkeeper) endJob(j *Job, state string, now time.Time) {
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -135,6 +135,32 @@
 		Expect(cluster.countRuns()).To(BeEmpty())
 	})
 
+	// Guards against jobs that callers see as started while the starts of their tasks have no known outcome or were refused.
+	It("counts a job as not started until a run of it is confirmed", func() {
+		queuedJobs := func() int {
+			return cluster.coordinator.CountQueuedJobs(ctx, messenger.JobRequest{Queue: "q"}).QueuedJobs
+		}
+		for _, a := range cluster.agents {
+			a.startsUnknown = true
+		}
+		submit(twoStepJob("a"))
+		cluster.simulate(2 * time.Second)
+		Expect(queuedJobs()).To(Equal(1))
+		for _, a := range cluster.agents {
+			a.runs["a.0.0.0"] = messenger.Run{Task: "a.0.0.0", Number: 1, Unconfirmed: true}
+			cluster.sendReport(a)
+			break
+		}
+		Expect(queuedJobs()).To(Equal(1))
+		Expect(jobState("a")).To(Equal("queued"))
+		for _, a := range cluster.agents {
+			a.startsUnknown, a.runs = false, map[string]messenger.Run{}
+		}
+		cluster.simulate(time.Second)
+		Expect(queuedJobs()).To(BeZero())
+		Expect(jobState("a")).To(Equal("running"))
+	})
+
 	It("cancels a job: its runs stop, and the response is sent once the cancellation is recorded", func() {
 		submit(twoStepJob("a"))
 		cluster.simulate(200 * time.Millisecond)
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -108,7 +108,7 @@
 	starts []string
 	stops  []string
 	paces  map[string]int
-	// startsUnknown makes the agent respond that it does not know whether runs were started. No test sets it.
+	// startsUnknown makes the agent respond that it does not know whether runs were started.
 	startsUnknown bool
 	// tailLatency is the measured tail latency of the long-running tasks, in milliseconds.
 	tailLatency float64
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -241,11 +241,8 @@
 			member.SkipRunNumbersTo(number - 1)
 		}
 	}
-	if !t.Step.Job.HasStarted() && t.Step.Job.FirstDue.IsZero() {
-		c.Meter.Observe("first-start", c.WallClock.Now().Sub(t.Step.Job.AcceptedAt))
-	}
 	c.Meter.Count("starts")
-	c.state.jobs.RunStarted(t, number)
+	c.state.jobs.RunOrdered(t, number)
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
 		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent,
@@ -259,6 +256,19 @@
 		Int64("reserved", v.Reserved().MilliProcessors).Msg("run placed on a VM")
 }
 
+// confirmRun records that a run certainly exists or has existed on its VM.
+func (c *Coordinator) confirmRun(x *run) {
+	if !x.needed || x.confirmed {
+		return
+	}
+	x.confirmed = true
+	j := x.task.Step.Job
+	if !j.HasStarted() && j.FirstDue.IsZero() {
+		c.Meter.Observe("first-start", c.WallClock.Now().Sub(j.AcceptedAt))
+	}
+	c.state.jobs.RunStarted(x.task, x.number)
+}
+
 // addOrders adds the order that is due for the run, if any: its start, its stop or its pace.
 func (x *run) addOrders(o *messenger.Orders, now time.Time) {
 	switch {
@@ -332,6 +342,7 @@
 		switch outcome.Outcome {
 		case messenger.StartDone:
 			x.expectedInReports, x.visibleFrom = true, response.Sequence
+			c.confirmRun(x)
 		case messenger.StartRefused:
 			v.unschedulableUntil = now.Add(refusalPause)
 			c.handleRefusal(x, outcome.Reason, now)
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -147,6 +147,7 @@
 			x = c.adoptFinishedRun(v, result)
 		}
 		if x != nil {
+			c.confirmRun(x)
 			c.finishRun(x, result, "result", now)
 		} else {
 			c.Log.Info().Str("task", result.Task).Int("run", result.Number).Str("vm", v.Name).Str("how", result.Outcome).
@@ -246,6 +247,9 @@
 			x = c.adoptRun(v, reported, now)
 		}
 		x.expectedInReports, x.mayReachNextProcess = true, false
+		if !reported.Unconfirmed {
+			c.confirmRun(x)
+		}
 		if x.settling && x.needed && x.stopsSent == 0 {
 			x.stopping, x.settling = false, false
 		}
@@ -277,7 +281,7 @@
 		if x.task.Step.Job.Live() && !x.task.IsDone() && c.state.runs[x.task] == nil {
 			x.needed = true
 			c.state.runs[x.task] = x
-			c.state.jobs.RunStarted(x.task, reported.Number)
+			c.state.jobs.RunOrdered(x.task, reported.Number)
 		}
 	}
 	x.stopping = !x.needed
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -191,7 +191,9 @@
 		r.State = messenger.VMNotListening
 	}
 	for _, x := range a.runs {
-		r.Runs = append(r.Runs, x.Run)
+		reported := x.Run
+		reported.Unconfirmed = x.phase != phaseRunning
+		r.Runs = append(r.Runs, reported)
 	}
 	return r, now
 }
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -102,6 +102,8 @@
 		Checkpoint string `json:"checkpoint,omitempty"`
 		// Progress is the completed part of the task as a percentage. For a long-running task it is 100 as soon as the task has finished its startup.
 		Progress int `json:"percent"`
+		// Unconfirmed means that the agent has ordered the start and doesn't know yet whether the endpoint has executed it.
+		Unconfirmed bool `json:"unconfirmed,omitempty"`
 		// LatencyOrUsage is the tail latency in milliseconds of a long-running task with a latency target. For other tasks it is the
 		// number of milli-processors in use.
 		LatencyOrUsage int `json:"figure"`
