receptionist: a refused repeat no longer answers for a copy without a response

Callers got 503, 429 or 400 for a job that then ran: the first copy of a submission to the owner got no response, the repeat was refused, and the refusal was passed on as 'never runs'. The owner could still accept the first copy. Cause: sendToOwner remembered that a copy may have an effect, but used it only if no owner answered at all. Evidence: four cases in receptionist_test.go (refused, overloaded, invalid, one copy not sent in between) returned the refusal before and return 'unknown' now. Why it works: a refusal speaks for the copy that got it. After a copy without a response only facts about the job end the call (done, no such job); all else becomes 'unknown', which callers hear as 504 and repeat. A refusal without such a copy is passed on as before, with the case of a copy that was certainly not sent. Not covered: a repeat through another entry, which does not know of the first copy. go test ./internal/fleet/receptionist passes.

--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -71,7 +71,7 @@
 )
 
 // Handle sends the request to the owner and returns its response, or another response if the owner doesn't respond in time or ctx is done.
-// It returns OutcomeNotExecuted only if the request certainly had no effect.
+// It returns OutcomeNotExecuted, OutcomeOverload or OutcomeInvalid only if no copy of the request that it has sent has an effect, now or later.
 func (r *Receptionist) Handle(ctx context.Context, method string, request messenger.JobRequest) messenger.JobResponse {
 	startedAt := r.Clock.Now()
 	response := r.sendToOwner(ctx, method, request, startedAt)
@@ -88,7 +88,7 @@
 		response, attemptMayHaveEffect := r.attempt(ctx, method, request)
 		mayHaveEffect = mayHaveEffect || attemptMayHaveEffect
 		if response.Outcome != messenger.OutcomeNotOwner {
-			return response
+			return r.concludeResponse(method, request, response, mayHaveEffect)
 		}
 		if request.Relayed {
 			return response
@@ -110,6 +110,18 @@
 	return response
 }
 
+// concludeResponse returns the response to all copies of the request. response is the owner's response to the last one, and mayHaveEffect
+// reports whether the owner may still execute an earlier one. The refusal of one copy says nothing about the others, so the outcome is then
+// unknown. A done request and a missing job are facts about the job, whichever copy they answer.
+func (r *Receptionist) concludeResponse(method string, request messenger.JobRequest, response messenger.JobResponse, mayHaveEffect bool) messenger.JobResponse {
+	if !mayHaveEffect || response.Outcome == messenger.OutcomeDone || response.Outcome == messenger.OutcomeNotFound || response.Outcome == messenger.OutcomeUnknown {
+		return response
+	}
+	r.Log.Info().Str("method", method).Str("job", jobID(request)).Str("outcome", response.Outcome).Str("reason", response.Reason).
+		Msg("repeat of a job request was refused after a copy without a response; the outcome is unknown")
+	return messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "owner did not answer, and refused the repeat: " + response.Reason}
+}
+
 // attempt sends the request to the current owner once, directly or through another entry. The second result reports whether the receiver
 // may have executed the request although no response arrived.
 func (r *Receptionist) attempt(ctx context.Context, method string, request messenger.JobRequest) (messenger.JobResponse, bool) {
--- a/internal/fleet/receptionist/receptionist_test.go
+++ b/internal/fleet/receptionist/receptionist_test.go
@@ -114,6 +114,32 @@
 			owner: fakeOwner{owner: "other"}, request: messenger.JobRequest{Relayed: true},
 			want: messenger.OutcomeDone,
 		},
+		// The next cases guard against a caller that hears that its job never runs because a repeat was refused, while the owner may still
+		// accept the first copy, which got no response.
+		"an unknown outcome if the owner refuses the repeat of a request without a response": {
+			owner: fakeOwner{owner: "other", results: []callResult{{failed: true, sent: true}, {outcome: messenger.OutcomeNotExecuted}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"an unknown outcome if the owner is overloaded at the repeat of a request without a response": {
+			owner: fakeOwner{owner: "other", results: []callResult{{failed: true, sent: true}, {outcome: messenger.OutcomeOverload}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"an unknown outcome if the repeat of a request without a response is invalid": {
+			owner: fakeOwner{owner: "other", results: []callResult{{failed: true, sent: true}, {outcome: messenger.OutcomeInvalid}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"an unknown outcome if a later copy is certainly not sent and the last one is refused": {
+			owner: fakeOwner{owner: "other", results: []callResult{{failed: true, sent: true}, {failed: true}, {outcome: messenger.OutcomeNotExecuted}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"the owner's rejection after a copy that was certainly not sent": {
+			owner: fakeOwner{owner: "other", results: []callResult{{failed: true}, {outcome: messenger.OutcomeNotExecuted}}},
+			want:  messenger.OutcomeNotExecuted,
+		},
+		"the owner's statement that there is no such job after a lost response": {
+			owner: fakeOwner{owner: "other", results: []callResult{{failed: true, sent: true}, {outcome: messenger.OutcomeNotFound}}},
+			want:  messenger.OutcomeNotFound,
+		},
 		"the outcome not-owner for a relayed request if no owner is known": {
 			owner: fakeOwner{}, request: messenger.JobRequest{Relayed: true},
 			want: messenger.OutcomeNotOwner,
