receptionist, coordinator: 'not owner' says whether the request may have had an effect

Callers got 503 ('never runs') for a job that the next owner restored and ran, when the owner gave up while the record was on the way to the store, or when a relay had sent the request to the owner without a response. Cause: the outcome not-owner counted as certainly not executed. Resign, a write that failed without a statement of the store, and the relay's own unanswered call all became that outcome. Change: JobResponse.MayHaveEffect. The coordinator sets it unless the write is certainly not stored; forwardRequest sets it after a call without a response, which replaces the second result of attempt. The receptionist then ends with 'unknown' unless a later owner answers with a fact. Why it works: the next owner loads the records after its claim has fenced the earlier owner's writes, so it knows whether the job was stored; until it answers, nobody does.

--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -143,7 +143,7 @@
 	case errors.Is(err, storekeeper.ErrNotAppended):
 		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotExecuted, Reason: "store refused", RetryAfter: storeRetryAfter}
 	default:
-		pending.response.Outcome = messenger.OutcomeNotOwner
+		pending.response = responseAfterLostWrite(err)
 	}
 	c.Meter.Count("submissions-" + pending.response.Outcome)
 	c.Meter.Observe("acceptance", c.WallClock.Now().Sub(j.AcceptedAt))
@@ -152,6 +152,12 @@
 	close(pending.done)
 }
 
+// responseAfterLostWrite returns the response to a request whose write has failed with err because the ownership has ended. Unless the store
+// has certainly not appended the write, the next owner may find it.
+func responseAfterLostWrite(err error) messenger.JobResponse {
+	return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: !errors.Is(err, storekeeper.ErrFenced)}
+}
+
 // JobState responds with the visible state of the job.
 func (c *Coordinator) JobState(_ context.Context, request messenger.JobRequest) messenger.JobResponse {
 	c.state.mutex.Lock()
@@ -214,7 +220,7 @@
 	s.recordWaiters = append(s.recordWaiters, func(err error) {
 		pending.response.Outcome = messenger.OutcomeDone
 		if err != nil {
-			pending.response.Outcome = messenger.OutcomeNotOwner
+			pending.response = responseAfterLostWrite(err)
 		}
 		close(pending.done)
 	})
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -154,7 +154,7 @@
 }
 
 // Resign ends the ownership of the jobs, unless this entry has become the owner again in a later epoch. Pending submissions get the response
-// messenger.OutcomeNotOwner.
+// messenger.OutcomeNotOwner with MayHaveEffect, because their records may be on the way to the store.
 func (c *Coordinator) Resign(epoch uint64, reason string) {
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
@@ -165,7 +165,7 @@
 	s.owning = false
 	c.Log.Info().Uint64("epoch", s.epoch).Str("reason", reason).Msg("this entry no longer owns the jobs")
 	for id, pending := range s.pendingSubmissions {
-		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
+		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: true}
 		close(pending.done)
 		delete(s.pendingSubmissions, id)
 	}
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -122,6 +122,65 @@
 		})
 	}
 
+	// Guards against a caller that hears that its job never runs because the owner gave up the ownership, although the record of the job may be
+	// stored, so that the next owner runs the job.
+	for name, c := range map[string]struct {
+		end  func()
+		want bool
+	}{
+		"may have had an effect if the ownership ends while its record is written": {func() { cluster.coordinator.Resign(1, "test") }, true},
+		"may have had an effect if it is unknown whether its record was stored": {
+			func() { cluster.journal.err = errNoResponse; cluster.journal.flush() }, true,
+		},
+		"has had no effect if the store has fenced its record": {
+			func() { cluster.journal.err = storekeeper.ErrFenced; cluster.journal.flush() }, false,
+		},
+	} {
+		It("says that a submission "+name, func() {
+			responses := make(chan messenger.JobResponse, 1)
+			go func() {
+				responses <- cluster.coordinator.Submit(ctx, messenger.JobRequest{Job: twoStepJob("a"), Queue: "q"})
+			}()
+			Eventually(cluster.journal.countPendingWrites).Should(Equal(1))
+			c.end()
+			var response messenger.JobResponse
+			Eventually(responses).Should(Receive(&response))
+			Expect(response.Outcome).To(Equal(messenger.OutcomeNotOwner))
+			Expect(response.MayHaveEffect).To(Equal(c.want))
+		})
+	}
+
+	// Guards against a caller that hears that its cancellation was not executed although the end of the job may be stored.
+	for name, c := range map[string]struct {
+		err  error
+		want bool
+	}{
+		"may have had an effect if it is unknown whether its record was stored": {errNoResponse, true},
+		"has had no effect if the store has fenced its record":                  {storekeeper.ErrFenced, false},
+	} {
+		It("says that a cancellation "+name, func() {
+			submit(twoStepJob("a"))
+			responses := make(chan messenger.JobResponse, 1)
+			go func() {
+				responses <- cluster.coordinator.Cancel(ctx, messenger.JobRequest{ID: "a", Queue: "q"})
+			}()
+			var response messenger.JobResponse
+			Eventually(func() bool {
+				if w, ok := cluster.coordinator.CollectWrite(); ok {
+					w.Done(c.err)
+				}
+				select {
+				case response = <-responses:
+					return true
+				default:
+					return false
+				}
+			}).Should(BeTrue())
+			Expect(response.Outcome).To(Equal(messenger.OutcomeNotOwner))
+			Expect(response.MayHaveEffect).To(Equal(c.want))
+		})
+	}
+
 	It("counts jobs of the queue that have not started", func() {
 		for _, a := range cluster.agents {
 			a.state = messenger.VMDraining
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// countPendingWrites returns the number of writes that are neither stored nor failed.
+func (j *journal) countPendingWrites() int {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return len(j.pendingWrites)
+}
+
 // newestRecords returns the last record of each key in the order of the keys, as a new owner reads them. Keys whose last value is empty are
 // left out.
 func (j *journal) newestRecords() []storekeeper.Record {
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -244,6 +244,9 @@
 		// Reason explains the outcome. RetryAfter is the delay after which the caller may repeat a rejected request.
 		Reason     string        `json:"reason,omitempty"`
 		RetryAfter time.Duration `json:"retry-after,omitempty"`
+		// MayHaveEffect reports, with OutcomeNotOwner, that the request may have been executed or may still be: the sender of the
+		// response was the owner when it received the request, or has passed the request on without a response.
+		MayHaveEffect bool `json:"may-have-effect,omitempty"`
 	}
 )
 
@@ -258,7 +261,8 @@
 	OutcomeUnknown = "unknown"
 	// OutcomeNotFound means that the job is unknown.
 	OutcomeNotFound = "missing"
-	// OutcomeNotOwner means that the receiver doesn't own the jobs and did not execute the request.
+	// OutcomeNotOwner means that the receiver doesn't own the jobs. It did not execute the request, unless MayHaveEffect is set in the
+	// response. The next owner can tell.
 	OutcomeNotOwner = "not-owner"
 	// OutcomeInvalid means that the request itself is invalid, so that a repeat would be rejected too.
 	OutcomeInvalid = "invalid"
--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -85,8 +85,8 @@
 func (r *Receptionist) sendToOwner(ctx context.Context, method string, request messenger.JobRequest, startedAt time.Time) messenger.JobResponse {
 	mayHaveEffect := false
 	for ctx.Err() == nil {
-		response, attemptMayHaveEffect := r.attempt(ctx, method, request)
-		mayHaveEffect = mayHaveEffect || attemptMayHaveEffect
+		response := r.attempt(ctx, method, request)
+		mayHaveEffect = mayHaveEffect || response.MayHaveEffect
 		if response.Outcome != messenger.OutcomeNotOwner {
 			return r.concludeResponse(method, request, response, mayHaveEffect)
 		}
@@ -122,16 +122,15 @@
 	return messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "owner did not answer, and refused the repeat: " + response.Reason}
 }
 
-// attempt sends the request to the current owner once, directly or through another entry. The second result reports whether the receiver
-// may have executed the request although no response arrived.
-func (r *Receptionist) attempt(ctx context.Context, method string, request messenger.JobRequest) (messenger.JobResponse, bool) {
-	noOwner := messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
+// attempt sends the request to the current owner once, directly or through another entry. If no owner responds, the outcome is
+// OutcomeNotOwner, and MayHaveEffect reports whether a receiver may execute the request.
+func (r *Receptionist) attempt(ctx context.Context, method string, request messenger.JobRequest) messenger.JobResponse {
 	target, _ := r.Ownership.Owner()
 	switch {
 	case target == "":
-		return noOwner, false
+		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 	case target == r.Address:
-		return r.HandleLocally(ctx, method, request), false
+		return r.HandleLocally(ctx, method, request)
 	case request.Relayed:
 		return r.forwardRequest(ctx, target, method, request)
 	}
@@ -141,18 +140,18 @@
 	return r.forwardRequest(ctx, target, method, request)
 }
 
-// forwardRequest sends the request to the entry at the address target. If there is no response, it returns OutcomeNotOwner and whether the
-// target may have received the request.
-func (r *Receptionist) forwardRequest(ctx context.Context, target, method string, request messenger.JobRequest) (messenger.JobResponse, bool) {
+// forwardRequest sends the request to the entry at the address target. If there is no response, it returns OutcomeNotOwner, and MayHaveEffect
+// unless the request was certainly not sent.
+func (r *Receptionist) forwardRequest(ctx context.Context, target, method string, request messenger.JobRequest) messenger.JobResponse {
 	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	response, sent, err := r.PeerClient.SendJobRequest(attemptCtx, target, method, request)
 	if err != nil {
 		r.Log.Warn().Err(err).Str("method", method).Str("job", jobID(request)).Str("entry", target).Bool("sent", sent).
 			Msg("forwarding a job request failed")
-		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}, sent
+		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: sent}
 	}
-	return response, false
+	return response
 }
 
 // HandleLocally executes the request in this process, without forwarding it to another entry.
--- a/internal/fleet/receptionist/receptionist_test.go
+++ b/internal/fleet/receptionist/receptionist_test.go
@@ -15,11 +15,12 @@
 )
 
 // callResult is the result of one call to the owner. If failed is true, there is no response, and sent is false if the request was
-// certainly not sent.
+// certainly not sent. mayHaveEffect is the field MayHaveEffect of the response.
 type callResult struct {
-	outcome string
-	sent    bool
-	failed  bool
+	outcome       string
+	sent          bool
+	failed        bool
+	mayHaveEffect bool
 }
 
 // fakeOwner implements LocalOwner, PeerClient and Ownership. Each call returns the next of the results, or the last one if there is no other.
@@ -53,11 +54,12 @@
 	if s.failed {
 		return messenger.JobResponse{}, s.sent, eris.New("no response")
 	}
-	return messenger.JobResponse{Outcome: s.outcome}, true, nil
+	return messenger.JobResponse{Outcome: s.outcome, MayHaveEffect: s.mayHaveEffect}, true, nil
 }
 
 func (o *fakeOwner) respond() messenger.JobResponse {
-	return messenger.JobResponse{Outcome: o.nextResult().outcome}
+	s := o.nextResult()
+	return messenger.JobResponse{Outcome: s.outcome, MayHaveEffect: s.mayHaveEffect}
 }
 
 func (o *fakeOwner) Submit(context.Context, messenger.JobRequest) messenger.JobResponse {
@@ -140,6 +142,24 @@
 			owner: fakeOwner{owner: "other", results: []callResult{{failed: true, sent: true}, {outcome: messenger.OutcomeNotFound}}},
 			want:  messenger.OutcomeNotFound,
 		},
+		// The next cases guard against a caller that hears that its job never runs because the owner has given up the ownership, although the
+		// owner may have stored the job before.
+		"an unknown outcome if an owner that gave up may have executed the request and no other answers": {
+			owner: fakeOwner{owner: "other", results: []callResult{{outcome: messenger.OutcomeNotOwner, mayHaveEffect: true}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"an unknown outcome if this entry, which gave up, may have executed the request and no other answers": {
+			owner: fakeOwner{owner: "me", results: []callResult{{outcome: messenger.OutcomeNotOwner, mayHaveEffect: true}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"an unknown outcome if an owner that gave up may have executed the request and the next one refuses it": {
+			owner: fakeOwner{owner: "other", results: []callResult{{outcome: messenger.OutcomeNotOwner, mayHaveEffect: true}, {outcome: messenger.OutcomeNotExecuted}}},
+			want:  messenger.OutcomeUnknown,
+		},
+		"the response of the next owner if it knows that the request was executed": {
+			owner: fakeOwner{owner: "other", results: []callResult{{outcome: messenger.OutcomeNotOwner, mayHaveEffect: true}, {outcome: messenger.OutcomeDone}}},
+			want:  messenger.OutcomeDone,
+		},
 		"the outcome not-owner for a relayed request if no owner is known": {
 			owner: fakeOwner{}, request: messenger.JobRequest{Relayed: true},
 			want: messenger.OutcomeNotOwner,
@@ -170,6 +190,25 @@
 		Expect(o.relayed).To(Equal([]bool{true}))
 	})
 
+	// Guards against an entry that counts a request as not executed although the relay has sent it to the owner without a response.
+	for name, c := range map[string]struct {
+		result callResult
+		want   bool
+	}{
+		"may have had an effect if the relay has sent it without a response":      {callResult{failed: true, sent: true}, true},
+		"may have had an effect if the owner that gave up says so":                {callResult{outcome: messenger.OutcomeNotOwner, mayHaveEffect: true}, true},
+		"has had no effect if the relay has certainly not sent it":                {callResult{failed: true}, false},
+		"has had no effect if the receiver is not the owner and does not keep it": {callResult{outcome: messenger.OutcomeNotOwner}, false},
+	} {
+		It("says that a relayed request "+name, func() {
+			o := &fakeOwner{owner: "other", results: []callResult{c.result}}
+			r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
+			response := r.Handle(context.Background(), messenger.MethodSubmit, messenger.JobRequest{Relayed: true})
+			Expect(response.Outcome).To(Equal(messenger.OutcomeNotOwner))
+			Expect(response.MayHaveEffect).To(Equal(c.want))
+		})
+	}
+
 	It("rejects unknown methods", func() {
 		o := &fakeOwner{owner: "me"}
 		r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
