committer: a fenced repeat, or the end of the epoch, does not prove that nothing was stored

Callers heard that a job never runs although its record was stored: the append got no response, and the repeat was fenced by the next owner's claim, or the ownership ended before the repeat. The next owner restores the record and runs the job. Cause: commit completed the writes with ErrFenced, which means 'not appended', also if an earlier attempt of the batch may have appended them. Change: such writes fail with the new storekeeper.ErrUnknown. ErrFenced remains for batches that no attempt can have appended and for writes that were still queued. ErrNotAppended was right already: only the first attempt's rejection counts.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -71,8 +71,8 @@
 
 	// Write is a group of records that goes into one batch. Done is called with nil once the records are stored. A FailFast write fails
 	// with storekeeper.ErrNotAppended when the store has certainly not appended it, or if it is still queued while an append fails or
-	// is slow. Other writes are retried until the epoch ends. At the end of an epoch all its pending writes fail with
-	// storekeeper.ErrFenced.
+	// is slow. Other writes are retried until the epoch ends. At the end of an epoch all its pending writes fail: with
+	// storekeeper.ErrUnknown if the store may have appended them, and with storekeeper.ErrFenced if it has not and never will.
 	Write struct {
 		Records  []storekeeper.Record
 		FailFast bool
@@ -236,7 +236,7 @@
 			return
 		case errors.Is(err, storekeeper.ErrFenced):
 			c.handleFenced(batch, err)
-			completeWrites(writes, storekeeper.ErrFenced)
+			completeWrites(writes, endOfEpochError(certainlyNotAppended))
 			return
 		case errors.Is(err, storekeeper.ErrNotAppended):
 			if certainlyNotAppended {
@@ -257,12 +257,21 @@
 		c.Log.Warn().Err(err).Uint64("epoch", batch.Epoch).Uint64("sequence", batch.Sequence).Bool("sure", certainlyNotAppended).
 			Msg("append to the store failed")
 		if !sleeper.Sleep(ctx, backoff) || !c.isCurrentEpoch(batch.Epoch) {
-			completeWrites(writes, storekeeper.ErrFenced)
+			completeWrites(writes, endOfEpochError(certainlyNotAppended))
 			return
 		}
 	}
 }
 
+// endOfEpochError returns the error of writes that are given up because their epoch has ended. certainlyNotAppended reports whether no
+// attempt can have appended them. The rejection of a later attempt doesn't show that.
+func endOfEpochError(certainlyNotAppended bool) error {
+	if certainlyNotAppended {
+		return storekeeper.ErrFenced
+	}
+	return storekeeper.ErrUnknown
+}
+
 // failFailFastWrites fails the FailFast writes with storekeeper.ErrNotAppended and returns the others.
 func (*Committer) failFailFastWrites(writes []Write) []Write {
 	var kept []Write
--- a/internal/fleet/storekeeper/storekeeper.go
+++ b/internal/fleet/storekeeper/storekeeper.go
@@ -20,13 +20,16 @@
 	Records  []Record
 }
 
-// Errors of calls to the store. After any other error of an append it is unknown whether the batch was or will be appended.
+// Errors of calls to the store. After any other error of an append it is unknown whether the batch was or will be appended. That also holds
+// for a batch that was sent several times, unless each of the appends has returned ErrNotAppended or ErrFenced.
 var (
 	// ErrNotAppended reports that the batch was not appended and won't be appended later.
 	ErrNotAppended = eris.New("storekeeper: the batch was not appended")
 	// ErrFenced reports that the batch was not appended because the store has seen a higher epoch, that is, because there is a newer
 	// owner.
 	ErrFenced = eris.New("storekeeper: a writer with a higher epoch exists")
+	// ErrUnknown reports that a batch was given up without knowing whether the store has appended it.
+	ErrUnknown = eris.New("storekeeper: it is unknown whether the batch was appended")
 	// ErrDeleted reports that records at the requested offset were deleted. The reader must load the newest record of each key instead.
 	ErrDeleted = eris.New("storekeeper: the requested records were deleted")
 )
