coordinator: a cancellation is not answered with 'no such job' while the submission is pending

Callers heard 410 for a DELETE of a job that was accepted right afterwards and then ran. Cause: Cancel waited for the pending submission, at most recordTimeout or its deadline, but ignored that the wait may end without a decision, and then found no job. Change: if the submission is still pending, the outcome is 'unknown' (504), so that the caller repeats the DELETE. Evidence: one of three new cases in coordinator_test.go got 'missing' before and gets 'unknown' now; the others fix what callers hear once the submission is decided. Why it works: 'missing' is now only said when this owner has neither the job nor a submission of it; its records were loaded after the earlier owners' writes were fenced.

--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -189,7 +189,8 @@
 	return response
 }
 
-// Cancel ends a job. It responds with messenger.OutcomeDone once the end of the job is recorded, also if the job had already ended.
+// Cancel ends a job. It responds with messenger.OutcomeDone once the end of the job is recorded, also if the job had already ended. It responds
+// with messenger.OutcomeUnknown, without an effect, if the job's submission stays pending, because the job may exist afterwards.
 func (c *Coordinator) Cancel(ctx context.Context, request messenger.JobRequest) messenger.JobResponse {
 	c.state.mutex.Lock()
 	s := &c.state
@@ -205,6 +206,11 @@
 			c.state.mutex.Unlock()
 			return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 		}
+		if _, ok := s.pendingSubmissions[request.ID]; ok {
+			c.state.mutex.Unlock()
+			c.Log.Info().Str("job", request.ID).Msg("cancellation not answered: the job's submission is still pending")
+			return messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "the submission of the job is pending"}
+		}
 	}
 	j := s.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -150,6 +150,54 @@
 		})
 	}
 
+	// Guards against a caller that hears that no such job exists, although the owner accepts the job afterwards and runs it.
+	for name, c := range map[string]struct {
+		// timeout is how long the cancellation waits, writeErr the error of the submission's write. decided reports whether the write ends while
+		// the cancellation waits.
+		timeout  time.Duration
+		writeErr error
+		decided  bool
+		want     string
+	}{
+		"unknown while the record of the submission is not decided": {50 * time.Millisecond, nil, false, messenger.OutcomeUnknown},
+		"no such job after the store has refused the submission":    {time.Minute, storekeeper.ErrNotAppended, true, messenger.OutcomeNotFound},
+		"done after the store has accepted the submission":          {time.Minute, nil, true, messenger.OutcomeDone},
+	} {
+		It("returns for the cancellation of a pending submission: "+name, func() {
+			submitted := make(chan messenger.JobResponse, 1)
+			go func() {
+				submitted <- cluster.coordinator.Submit(ctx, messenger.JobRequest{Job: twoStepJob("a"), Queue: "q"})
+			}()
+			Eventually(cluster.journal.countPendingWrites).Should(Equal(1))
+			responses := make(chan messenger.JobResponse, 1)
+			go func() {
+				callCtx, cancel := context.WithTimeout(ctx, c.timeout)
+				defer cancel()
+				responses <- cluster.coordinator.Cancel(callCtx, messenger.JobRequest{ID: "a", Queue: "q"})
+			}()
+			var response messenger.JobResponse
+			if !c.decided {
+				Eventually(responses).Should(Receive(&response))
+				Expect(response.Outcome).To(Equal(c.want))
+				cluster.journal.flush()
+				Eventually(submitted).Should(Receive(HaveField("Outcome", messenger.OutcomeDone)))
+				return
+			}
+			Consistently(responses).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+			cluster.journal.err = c.writeErr
+			Eventually(func() bool {
+				cluster.journal.flush()
+				select {
+				case response = <-responses:
+					return true
+				default:
+					return false
+				}
+			}).Should(BeTrue())
+			Expect(response.Outcome).To(Equal(c.want))
+		})
+	}
+
 	// Guards against a caller that hears that its cancellation was not executed although the end of the job may be stored.
 	for name, c := range map[string]struct {
 		err  error
