elector: load the records again if a claim without a response was stored

A new owner could lack accepted jobs (answered 2xx) and recorded results of runs, and so lose jobs or run tasks a second time. Cause: the store may execute a claim without a response while it is read back. Until the claim is executed, the store accepts the previous owner's records; those that belong to pages read before were missing, and Follow only looks for claims. Change: if the append returned an error and the claim is read back as the newest, the records are loaded again. Why it works: the claim that was read back is stored, so earlier epochs are fenced before the second load begins. After a response of 200 that holds for the first load.

--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -98,7 +98,7 @@
 
 // claim appends a claim of the ownership to the store and reads the newest claim back. Only the claim that was read back decides who is the
 // owner, because the store treats a second claim of an epoch as a repeat of the first one, and because the response to an append may be
-// lost.
+// lost. The records of an owner are only complete if the store has executed the claim before they are read.
 func (e *Elector) claim(ctx context.Context) {
 	e.mutex.Lock()
 	now := e.Clock.Now()
@@ -121,9 +121,13 @@
 		e.Log.Warn().Err(err).Uint64("epoch", claim.Epoch).Msg("claim was not appended to the store")
 		return
 	}
-	callCtx, cancel = context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	records, offset, loadErr := e.Store.Load(callCtx)
+	records, offset, loadErr := e.load(ctx)
+	if err != nil && loadErr == nil && newestClaim(records) == claim {
+		// The store may have executed the claim during the load. Until then it accepted records of the previous owner, which the pages
+		// loaded before lack.
+		e.Log.Info().AnErr("append", err).Uint64("epoch", claim.Epoch).Msg("claim without a response was stored; loading the records again")
+		records, offset, loadErr = e.load(ctx)
+	}
 	if loadErr != nil {
 		e.Log.Warn().AnErr("append", err).Err(loadErr).Uint64("epoch", claim.Epoch).Msg("failed to read the claim back from the store")
 		return
@@ -131,6 +135,13 @@
 	e.becomeOwnerIfNewest(claim, records, offset)
 }
 
+// load returns the newest record of each key and the offset at which they end. It fails if the store doesn't return them within loadTimeout.
+func (e *Elector) load(ctx context.Context) ([]storekeeper.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	return e.Store.Load(ctx)
+}
+
 // becomeOwnerIfNewest makes this entry the owner if its claim is the newest one among the records, which end at the offset.
 func (e *Elector) becomeOwnerIfNewest(claim ownerClaim, records []storekeeper.Record, offset int64) {
 	newest := newestClaim(records)
@@ -172,9 +183,7 @@
 		cancel()
 		if errors.Is(err, storekeeper.ErrDeleted) {
 			// The deleted records may have contained a claim, so the newest record of each key is loaded.
-			callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-			records, next, err = e.Store.Load(callCtx)
-			cancel()
+			records, next, err = e.load(ctx)
 		}
 		if err != nil {
 			e.Log.Warn().Err(err).Msg("failed to read new records from the store")
