--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -143,7 +143,7 @@
 	case errors.Is(err, storekeeper.ErrNotAppended):
 		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotExecuted, Reason: "store refused", RetryAfter: storeRetryAfter}
 	default:
-		pending.response.Outcome = messenger.OutcomeNotOwner
+		pending.response = responseAfterLostWrite(err)
 	}
 	c.Meter.Count("submissions-" + pending.response.Outcome)
 	c.Meter.Observe("acceptance", c.WallClock.Now().Sub(j.AcceptedAt))
@@ -152,6 +152,12 @@
 	close(pending.done)
 }
 
+// responseAfterLostWrite returns the response to a request whose write has failed with err because the ownership has ended. Unless the store
+// has certainly not appended the write, the next owner may find it.
+func responseAfterLostWrite(err error) messenger.JobResponse {
+	return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: !errors.Is(err, storekeeper.ErrFenced)}
+}
+
 // JobState responds with the visible state of the job.
 func (c *Coordinator) JobState(_ context.Context, request messenger.JobRequest) messenger.JobResponse {
 	c.state.mutex.Lock()
@@ -183,7 +189,8 @@
 	return response
 }
 
-// Cancel ends a job. It responds with messenger.OutcomeDone once the end of the job is recorded, also if the job had already ended.
+// Cancel ends a job. It responds with messenger.OutcomeDone once the end of the job is recorded, also if the job had already ended. It responds
+// with messenger.OutcomeUnknown, without an effect, if the job's submission stays pending, because the job may exist afterwards.
 func (c *Coordinator) Cancel(ctx context.Context, request messenger.JobRequest) messenger.JobResponse {
 	c.state.mutex.Lock()
 	s := &c.state
@@ -199,6 +206,11 @@
 			c.state.mutex.Unlock()
 			return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 		}
+		if _, ok := s.pendingSubmissions[request.ID]; ok {
+			c.state.mutex.Unlock()
+			c.Log.Info().Str("job", request.ID).Msg("cancellation not answered: the job's submission is still pending")
+			return messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "the submission of the job is pending"}
+		}
 	}
 	j := s.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
@@ -214,7 +226,7 @@
 	s.recordWaiters = append(s.recordWaiters, func(err error) {
 		pending.response.Outcome = messenger.OutcomeDone
 		if err != nil {
-			pending.response.Outcome = messenger.OutcomeNotOwner
+			pending.response = responseAfterLostWrite(err)
 		}
 		close(pending.done)
 	})
--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -71,7 +71,7 @@
 )
 
 // Handle sends the request to the owner and returns its response, or another response if the owner doesn't respond in time or ctx is done.
-// It returns OutcomeNotExecuted only if the request certainly had no effect.
+// It returns OutcomeNotExecuted, OutcomeOverload or OutcomeInvalid only if no copy of the request that it has sent has an effect, now or later.
 func (r *Receptionist) Handle(ctx context.Context, method string, request messenger.JobRequest) messenger.JobResponse {
 	startedAt := r.Clock.Now()
 	response := r.sendToOwner(ctx, method, request, startedAt)
@@ -85,10 +85,10 @@
 func (r *Receptionist) sendToOwner(ctx context.Context, method string, request messenger.JobRequest, startedAt time.Time) messenger.JobResponse {
 	mayHaveEffect := false
 	for ctx.Err() == nil {
-		response, attemptMayHaveEffect := r.attempt(ctx, method, request)
-		mayHaveEffect = mayHaveEffect || attemptMayHaveEffect
+		response := r.attempt(ctx, method, request)
+		mayHaveEffect = mayHaveEffect || response.MayHaveEffect
 		if response.Outcome != messenger.OutcomeNotOwner {
-			return response
+			return r.concludeResponse(method, request, response, mayHaveEffect)
 		}
 		if request.Relayed {
 			return response
@@ -110,16 +110,27 @@
 	return response
 }
 
-// attempt sends the request to the current owner once, directly or through another entry. The second result reports whether the receiver
-// may have executed the request although no response arrived.
-func (r *Receptionist) attempt(ctx context.Context, method string, request messenger.JobRequest) (messenger.JobResponse, bool) {
-	noOwner := messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
+// concludeResponse returns the response to all copies of the request. response is the owner's response to the last one, and mayHaveEffect
+// reports whether the owner may still execute an earlier one. The refusal of one copy says nothing about the others, so the outcome is then
+// unknown. A done request and a missing job are facts about the job, whichever copy they answer.
+func (r *Receptionist) concludeResponse(method string, request messenger.JobRequest, response messenger.JobResponse, mayHaveEffect bool) messenger.JobResponse {
+	if !mayHaveEffect || response.Outcome == messenger.OutcomeDone || response.Outcome == messenger.OutcomeNotFound || response.Outcome == messenger.OutcomeUnknown {
+		return response
+	}
+	r.Log.Info().Str("method", method).Str("job", jobID(request)).Str("outcome", response.Outcome).Str("reason", response.Reason).
+		Msg("repeat of a job request was refused after a copy without a response; the outcome is unknown")
+	return messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "owner did not answer, and refused the repeat: " + response.Reason}
+}
+
+// attempt sends the request to the current owner once, directly or through another entry. If no owner responds, the outcome is
+// OutcomeNotOwner, and MayHaveEffect reports whether a receiver may execute the request.
+func (r *Receptionist) attempt(ctx context.Context, method string, request messenger.JobRequest) messenger.JobResponse {
 	target, _ := r.Ownership.Owner()
 	switch {
 	case target == "":
-		return noOwner, false
+		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 	case target == r.Address:
-		return r.HandleLocally(ctx, method, request), false
+		return r.HandleLocally(ctx, method, request)
 	case request.Relayed:
 		return r.forwardRequest(ctx, target, method, request)
 	}
@@ -129,18 +140,18 @@
 	return r.forwardRequest(ctx, target, method, request)
 }
 
-// forwardRequest sends the request to the entry at the address target. If there is no response, it returns OutcomeNotOwner and whether the
-// target may have received the request.
-func (r *Receptionist) forwardRequest(ctx context.Context, target, method string, request messenger.JobRequest) (messenger.JobResponse, bool) {
+// forwardRequest sends the request to the entry at the address target. If there is no response, it returns OutcomeNotOwner, and MayHaveEffect
+// unless the request was certainly not sent.
+func (r *Receptionist) forwardRequest(ctx context.Context, target, method string, request messenger.JobRequest) messenger.JobResponse {
 	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	response, sent, err := r.PeerClient.SendJobRequest(attemptCtx, target, method, request)
 	if err != nil {
 		r.Log.Warn().Err(err).Str("method", method).Str("job", jobID(request)).Str("entry", target).Bool("sent", sent).
 			Msg("forwarding a job request failed")
-		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}, sent
+		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: sent}
 	}
-	return response, false
+	return response
 }
 
 // HandleLocally executes the request in this process, without forwarding it to another entry.
