job: reject figures that no owner can record or hold

Seen: a submission with StartAtMs ends the owner, and each next owner that gets the repeat: 'panic: coordinator: cannot encode a job: json: ... year outside of range [0,9999]' (Coordinator.Submit). Ten more invalid jobs were accepted: due times that overflow, 40,960,000 tasks due at once, sizes and estimates whose sums overflow, negative latency targets and disruption budgets, labels of 1 MB. Cause: Validate bounded neither times nor sums, and a time after the year 9999 has no JSON form. Change: Validate bounds the due times, the interval, the number of tasks in all occurrences (as many as one occurrence may have), sizes, estimates and texts.

--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -85,6 +85,8 @@
 	}{
 		"done for a job with a known ID":                               {func() { submit(twoStepJob("a")) }, nil, messenger.OutcomeDone},
 		"not owner for a job of an unknown queue":                      {nil, func(c *messenger.JobRequest) { c.Queue = "new" }, messenger.OutcomeNotOwner},
+		// Guards against an owner that ends, and the next ones after it, because the accepted job cannot be encoded.
+		"invalid for a job that is due after the year 9999":            {nil, func(c *messenger.JobRequest) { c.Job.FirstDue = time.UnixMilli(9e18) }, messenger.OutcomeInvalid},
 		"invalid for an invalid job":                                   {nil, func(c *messenger.JobRequest) { c.Job.Steps = nil }, messenger.OutcomeInvalid},
 		"not executed for a job that is too large for all VMs":         {nil, func(c *messenger.JobRequest) { c.Job.Steps[1].Size.MilliProcessors = 5000 }, messenger.OutcomeNotExecuted},
 		"not executed for a job whose label no VM has":                 {nil, func(c *messenger.JobRequest) { c.Job.Steps[0].Label = "x" }, messenger.OutcomeNotExecuted},
--- a/internal/batch/job/job.go
+++ b/internal/batch/job/job.go
@@ -14,8 +14,19 @@
 	MaxSteps        = 64
 	MaxTasksPerStep = 4096
 	MaxOccurrences  = 10_000
+	// MaxTasks is the highest number of tasks in all occurrences together. They may all be due at the same time, and the owner then holds
+	// all of them in memory.
+	MaxTasks = MaxSteps * MaxTasksPerStep
 	// MaxPayloadBytes is the length of the longest payload that an endpoint accepts.
 	MaxPayloadBytes = 4000
+	// MaxTextBytes is the length of the longest label, name of a rack or name of a program.
+	MaxTextBytes = 1024
+	// MaxAmount is the highest size of a task in each dimension, and MaxTime the longest duration and the longest time between the first and
+	// the last occurrence. Sums of them over the tasks and steps of a job do not overflow.
+	MaxAmount = 1 << 44
+	MaxTime   = 365 * 24 * time.Hour
+	// maxYear is the last year that a stored record can contain.
+	maxYear = 9999
 )
 
 type (
@@ -81,22 +92,40 @@
 		return eris.Errorf("job: payload of %d bytes, want at most %d", len(j.Payload), MaxPayloadBytes)
 	case j.Occurrences < 1 || j.Occurrences > MaxOccurrences:
 		return eris.Errorf("job: %d occurrences, want 1 to %d", j.Occurrences, MaxOccurrences)
-	case j.Occurrences > 1 && j.Interval <= 0:
+	case j.Occurrences > 1 && j.Interval == 0:
 		return eris.New("job: several occurrences without an interval")
+	case j.Interval < 0 || j.Interval > MaxTime/time.Duration(j.Occurrences):
+		return eris.Errorf("job: interval of %s between %d occurrences, want one above 0 with which they are due within %s", j.Interval, j.Occurrences, MaxTime)
+	case !j.FirstDue.IsZero() && (j.FirstDue.Before(time.Unix(0, 0)) || j.FirstDue.UTC().Year() >= maxYear):
+		return eris.Errorf("job: first occurrence is due in the year %d, want 1970 to %d", j.FirstDue.UTC().Year(), maxYear-1)
 	}
+	tasks := 0
 	for n, s := range j.Steps {
 		if s.TaskCount < 1 || s.TaskCount > MaxTasksPerStep {
 			return eris.Errorf("job: step %d has %d tasks, want 1 to %d", n, s.TaskCount, MaxTasksPerStep)
 		}
-		if s.Size.Negative() || s.Estimate < 0 || s.MaxPerVM < 0 {
+		tasks += s.TaskCount
+		if s.Size.Negative() || s.Estimate < 0 || s.MaxPerVM < 0 || s.TailTarget < 0 || s.MaxDisruptions < 0 {
 			return eris.Errorf("job: step %d has a negative figure", n)
 		}
+		if !s.Size.Fits(resource.Amount{MilliProcessors: MaxAmount, MemoryBytes: MaxAmount, Accelerators: MaxAmount}) {
+			return eris.Errorf("job: the size of a task in step %d is larger than %d in a dimension", n, int64(MaxAmount))
+		}
+		if s.Estimate > MaxTime || s.TailTarget > MaxTime {
+			return eris.Errorf("job: the estimate or the latency target of step %d is longer than %s", n, MaxTime)
+		}
+		if longest := max(len(s.Label), len(s.PreferredRack), len(s.Program)); longest > MaxTextBytes {
+			return eris.Errorf("job: step %d has a text of %d bytes, want at most %d", n, longest, MaxTextBytes)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= n {
 				return eris.Errorf("job: step %d waits for step %d, which is not an earlier one", n, a)
 			}
 		}
 	}
+	if tasks*j.Occurrences > MaxTasks {
+		return eris.Errorf("job: %d tasks in total in %d occurrences, want at most %d", tasks*j.Occurrences, j.Occurrences, MaxTasks)
+	}
 	return nil
 }
 
