attendant, coordinator: rows that cannot be read lose no run and block no result

Seen: once a listing leaves out a row, its run counts as absent, and the owner starts the task again with each report (11 starts of one task in 2 s of the test); and a result that cannot be discarded makes the agent list without a pause (159,329 list requests in 0.5 s with the fake endpoint). Cause: a listing could not say that it is incomplete. Change: a listing and a report name the tasks of rows that cannot be read; neither the agent nor the owner takes a run of these tasks for absent, also if the agent was restarted. A result without a task stands for one that cannot be read, so that it is recorded and discarded in its turn. While one cannot even be discarded, the agent pauses between lists. Measured: 2 new tests of the coordinator and 2 of the agent failed before, as above, and pass now, with the rest of both packages. The tests that results after one without a task are recorded passed before.

--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,6 +45,34 @@
 		return cluster.coordinator.JobState(ctx, messenger.JobRequest{ID: id, Queue: "q"}).State
 	}
 
+	// Guards against a second start of a task whose run is listed in a row that the agent cannot read, also if the agent was restarted.
+	for _, restarted := range []bool{false, true} {
+		It(fmt.Sprintf("does not take a run for lost while its row cannot be read (agent restarted: %t)", restarted), func() {
+			submit(job.Job{ID: "odd", Occurrences: 1, Steps: []job.Step{{TaskCount: 2, Size: resource.Amount{MilliProcessors: 1000}}}})
+			cluster.simulate(400 * time.Millisecond)
+			Expect(cluster.countRuns()).To(HaveLen(2))
+			for _, a := range cluster.agents {
+				a.unreadable = true
+				if restarted {
+					a.generation, a.reportSequence = "h", 0
+				}
+			}
+			cluster.simulate(2 * time.Second)
+			Expect(cluster.countRuns()).To(Equal(map[string]int{"odd.0.0.0": 1, "odd.0.0.1": 1}))
+			for _, a := range cluster.agents {
+				Expect(a.starts).To(HaveLen(len(a.runs)), "no task was started again")
+			}
+		})
+	}
+
+	// Guards against a result without a task that blocks the results after it.
+	It("records a result that cannot be read and the results after it", func() {
+		a := cluster.agents["vm-0"]
+		a.results = append(a.results, messenger.RunResult{Sequence: 1}, messenger.RunResult{Sequence: 2, Task: "x.0.0.0", Number: 1, Outcome: messenger.RunDone})
+		cluster.simulate(400 * time.Millisecond)
+		Expect(a.results).To(BeEmpty())
+	})
+
 	It("runs the steps of a job in order, and reports the job as completed once its end is recorded", func() {
 		Expect(submit(twoStepJob("a")).Outcome).To(Equal(messenger.OutcomeDone))
 		cluster.simulate(200 * time.Millisecond)
@@ -83,8 +112,8 @@
 		modify  func(request *messenger.JobRequest)
 		want    string
 	}{
-		"done for a job with a known ID":                               {func() { submit(twoStepJob("a")) }, nil, messenger.OutcomeDone},
-		"not owner for a job of an unknown queue":                      {nil, func(c *messenger.JobRequest) { c.Queue = "new" }, messenger.OutcomeNotOwner},
+		"done for a job with a known ID":          {func() { submit(twoStepJob("a")) }, nil, messenger.OutcomeDone},
+		"not owner for a job of an unknown queue": {nil, func(c *messenger.JobRequest) { c.Queue = "new" }, messenger.OutcomeNotOwner},
 		// Guards against an owner that ends, and the next ones after it, because the accepted job cannot be encoded.
 		"invalid for a job that is due after the year 9999":            {nil, func(c *messenger.JobRequest) { c.Job.FirstDue = time.UnixMilli(9e18) }, messenger.OutcomeInvalid},
 		"invalid for an invalid job":                                   {nil, func(c *messenger.JobRequest) { c.Job.Steps = nil }, messenger.OutcomeInvalid},
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -96,6 +96,8 @@
 	runs               map[string]messenger.Run
 	results            []messenger.RunResult
 	nextResultSequence int64
+	// unreadable makes the reports list no run, and name the tasks of the runs as unreadable.
+	unreadable bool
 	// silent makes the agent send no reports and ignore orders. runsUnlisted makes its reports list no runs and results. dropResponses makes it
 	// carry out orders without a response.
 	silent        bool
@@ -218,7 +220,11 @@
 		Rack: "r", Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
 	}
 	for _, run := range a.runs {
-		r.Runs = append(r.Runs, run)
+		if a.unreadable {
+			r.UnreadableTasks = append(r.UnreadableTasks, run.Task)
+		} else {
+			r.Runs = append(r.Runs, run)
+		}
 	}
 	if a.runsUnlisted {
 		r.Runs, r.Results = nil, nil
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
@@ -212,7 +213,7 @@
 		x.lastReport = reported
 	}
 	for name, x := range v.runs {
-		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number {
+		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number && !slices.Contains(r.UnreadableTasks, name) {
 			c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: name, Number: x.number}, "missing in a report", now)
 		}
 	}
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -175,6 +175,7 @@
 	r := messenger.Report{
 		VM: a.Address, Generation: a.Generation, Sequence: a.reportSequence, Epoch: a.epoch, SentMS: a.millisSinceProcessStart(now), Incarnation: a.incarnation,
 		State: messenger.VMUnknown, Listed: a.listed, Results: a.pendingResults[:len(a.pendingResults):len(a.pendingResults)],
+		UnreadableTasks: a.unreadableTasks,
 	}
 	if h.Incarnation == a.incarnation && a.incarnation != 0 {
 		r.EndpointID, r.Service, r.DataCentre, r.Rack, r.Labels, r.Capacity = h.EndpointID, h.Service, h.DataCentre, h.Rack, h.Labels, h.Capacity
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -103,6 +103,48 @@
 		})
 	}
 
+	// Guards against a second start of a task whose run is listed in a row that cannot be read.
+	It("keeps a run whose row cannot be read, and reports the name of its task", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		Eventually(func() []messenger.Run { return o.report().Runs }).Should(HaveLen(1))
+		e.mutex.Lock()
+		e.unreadableTasks = []string{task}
+		e.mutex.Unlock()
+		Eventually(func() []string { return o.report().UnreadableTasks }).Should(Equal([]string{task}))
+		Consistently(func() []messenger.Run { return o.report().Runs }).WithTimeout(600 * time.Millisecond).Should(HaveLen(1))
+		e.mutex.Lock()
+		e.unreadableTasks = nil
+		e.mutex.Unlock()
+		Eventually(func() []string { return o.report().UnreadableTasks }).Should(BeEmpty())
+	})
+
+	// Guards against an agent that lists without a pause because the endpoint always has a result that cannot be discarded.
+	It("pauses between list requests while a result without a usable sequence number is listed", func() {
+		e.mutex.Lock()
+		e.unreadableResults = true
+		listed := len(e.queries)
+		e.mutex.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		Expect(len(e.queries) - listed).To(And(BeNumerically(">", 1), BeNumerically("<", 60)))
+	})
+
+	// Guards against results that are never reported because the row before them cannot be read.
+	It("reports a result that cannot be read as one without a task, and the results after it", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		e.mutex.Lock()
+		e.results = append(e.results, messenger.RunResult{Sequence: e.nextSequence})
+		e.nextSequence++
+		e.finish(task, messenger.RunDone)
+		e.mutex.Unlock()
+		Eventually(func() []messenger.RunResult { return o.report().Results }).Should(HaveLen(2))
+		o.mutex.Lock()
+		o.recordedSequence = 2
+		o.mutex.Unlock()
+		Eventually(func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return len(e.results) }).Should(BeZero())
+	})
+
 	It("refuses starts that exceed the capacity and starts of stopped runs", func() {
 		response := a.HandleOrders(ctx, orders(start(task, 1), start("b.0.0.0", 1)))
 		var outcomes []string
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -41,6 +41,9 @@
 	startRelease chan struct{}
 	startBlocked bool
 	notListening bool
+	// unreadableTasks and unreadableResults are those of each listing. A run of an unreadable task is not listed.
+	unreadableTasks   []string
+	unreadableResults bool
 	// queries contains the list requests that the endpoint has accepted, and started the tasks of all executed starts.
 	queries []attendant.ListQuery
 	started []string
@@ -63,7 +66,7 @@
 		}
 		e.highestFencingToken = q.FencingToken
 		e.results = slices.DeleteFunc(e.results, func(r messenger.RunResult) bool { return r.Sequence <= q.RecordedSequence })
-		if len(e.results) > 0 || wait <= 0 || ctx.Err() != nil {
+		if len(e.results) > 0 || e.unreadableResults || wait <= 0 || ctx.Err() != nil {
 			break
 		}
 		e.mutex.Unlock()
@@ -85,8 +88,11 @@
 // listing returns the current lists of runs and results. The caller holds the mutex.
 func (e *endpoint) listing() attendant.Listing {
 	l := attendant.Listing{Incarnation: e.incarnation, ClockMS: time.Now().UnixMilli(), Results: slices.Clone(e.results)}
+	l.UnreadableTasks, l.UnreadableResults = e.unreadableTasks, e.unreadableResults
 	for _, r := range e.runs {
-		l.Runs = append(l.Runs, r)
+		if !slices.Contains(e.unreadableTasks, r.Task) {
+			l.Runs = append(l.Runs, r)
+		}
 	}
 	return l
 }
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -73,7 +73,13 @@
 		Incarnation int64
 		ClockMS     int64
 		Runs        []messenger.Run
-		Results     []messenger.RunResult
+		// Results are in the order of their sequence numbers. One without a task stands for a result that cannot be read; it is recorded
+		// like the others, so that the endpoint can discard it.
+		Results []messenger.RunResult
+		// UnreadableTasks are the tasks of listed runs that cannot be read otherwise. UnreadableResults reports that a result without a
+		// usable sequence number was left out, so that the endpoint cannot discard it.
+		UnreadableTasks   []string
+		UnreadableResults bool
 	}
 
 	// StartCall starts a run whose lease expires at DeadlineMS, in milliseconds on the endpoint's clock. Only the endpoint process with
@@ -180,6 +186,9 @@
 		recordedSequence   int64
 		lastResultSequence int64
 		pendingResults     []messenger.RunResult
+		// unreadableTasks and unreadableResults are those of the last listing.
+		unreadableTasks   []string
+		unreadableResults bool
 		// runs contains the runs by task.
 		runs map[string]*run
 		// highestStopped contains, for each task, the highest run number that was ordered to stop.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -43,11 +43,12 @@
 	}
 }
 
-// hasPendingResults reports whether there are run results that the owner has not recorded yet.
+// hasPendingResults reports whether the endpoint still lists run results, because the owner has not recorded them yet or because they cannot be
+// read.
 func (a *Attendant) hasPendingResults() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return len(a.pendingResults) > 0
+	return len(a.pendingResults) > 0 || a.unreadableResults
 }
 
 // listWait returns how long the endpoint may delay its response to the next list request.
@@ -160,7 +161,11 @@
 			delete(a.runs, r.Task)
 		}
 	}
+	a.unreadableTasks, a.unreadableResults = l.UnreadableTasks, l.UnreadableResults
 	listedTasks := map[string]struct{}{}
+	for _, task := range l.UnreadableTasks {
+		listedTasks[task] = struct{}{}
+	}
 	for _, listedRun := range l.Runs {
 		listedTasks[listedRun.Task] = struct{}{}
 		x, ok := a.runs[listedRun.Task]
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -88,6 +88,9 @@
 		// RemainingTime is the minimum time that a draining VM keeps running.
 		RemainingTime time.Duration `json:"remaining,omitempty"`
 		Runs          []Run         `json:"runs,omitempty"`
+		// UnreadableTasks are the tasks of listed runs that the agent cannot read otherwise. A run of such a task is not lost although Runs
+		// does not contain it.
+		UnreadableTasks []string `json:"unreadable,omitempty"`
 		// Results are the results that the owner has not recorded yet.
 		Results []RunResult `json:"ends,omitempty"`
 	}
