platform: one odd row does not fail the lists of runs and results

Seen: one row that did not parse, such as ["a.0.0.3",1e300,"",0,0] or 10,000 nested arrays, failed the whole list again and again. The agent then followed its endpoint no more and listed no results. A result numbered hid all later ones and let the endpoint discard them. A response without born made the agent forget all runs. Checkpoints and names of 1 MB went into reports, whose frame holds 8 MB. Run numbers and measurements of 1e300 passed or wrapped around. Cause: the list was decoded as one JSON document, each row had to be valid, and no number was checked. Change: the lists are split by brackets and quotation marks, each row is decoded alone, and odd ones are left out with at most one short log line in 10 s. A listing whose rows cannot be told apart, or that names no process, stays an error. Handled well before were other types of born and of the lists, brackets that do not match, and bytes that are no JSON.

--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -29,10 +29,12 @@
 		return err
 	}
 	store := platform.NewStore(settings.StoreAddress)
+	endpoint := platform.NewEndpoint(settings.EndpointAddress)
+	endpoint.Log = logger
 	m := &meter.Meter{}
 	a := &attendant.Attendant{
 		Meter:   m,
-		Address: settings.PeerAddress, Generation: rand.Text(), Endpoint: platform.NewEndpoint(settings.EndpointAddress),
+		Address: settings.PeerAddress, Generation: rand.Text(), Endpoint: endpoint,
 		Reporter: &caller.Client{}, Clock: boottimer.Clock{}, Log: logger, LeaseDurations: attendant.LeaseDurations{Grant: grantDuration, Run: runLeaseDuration},
 		Seeds: settings.Entries,
 		DiscoverEntries: func(ctx context.Context) []string {
