--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
@@ -263,7 +264,7 @@
 		if !r.Listed && x.mayReachNextProcess && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
 			continue
 		}
-		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number {
+		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number && !slices.Contains(r.UnreadableTasks, name) {
 			c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: name, Number: x.number}, "missing in a report", now)
 		}
 	}
