bookkeeper, coordinator: odd records of jobs are left out as a whole

Seen: a record with a negative number of tasks ended the process at each takeover (panic in restore); records whose progress does not match the job were logged as not restored, but the job stayed and its tasks started; run numbers such as were restored, after which no run can follow; a job under the key of another one was restored. Cause: Restore added the job before it checked the progress, and checked neither the job nor run numbers. Change: Restore checks everything first, with the limits of submissions, and the ID must match the key. The record stays in the store and is logged, as before. Handled well before: records that are no JSON, nested 10,000 deep, null, empty, of another type.

--- a/internal/batch/bookkeeper/bookkeeper_test.go
+++ b/internal/batch/bookkeeper/bookkeeper_test.go
@@ -1,6 +1,7 @@
 package bookkeeper_test
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -183,4 +184,35 @@
 		Expect(b.Restore(twoStepJob("a"), []byte(`{"state":"running","occurrences":{"0":[]}}`), now)).NotTo(Succeed())
 		Expect(b.Restore(twoStepJob("b"), []byte(`{`), now)).NotTo(Succeed())
 	})
+
+	// Guards against records that make each new owner end, because it creates the tasks of a job of any size, and against jobs that are half
+	// restored or whose next run has a number below zero.
+	for name, c := range map[string]struct {
+		change   func(j *job.Job)
+		progress string
+	}{
+		"a job with a billion tasks":            {func(j *job.Job) { j.Steps[0].TaskCount = 1_000_000_000 }, ``},
+		"a job with a negative number of tasks": {func(j *job.Job) { j.Steps[0].TaskCount = -1 }, ``},
+		"a job without steps":                   {func(j *job.Job) { j.Steps = nil }, ``},
+		"a job that waits for a missing step":   {func(j *job.Job) { j.Steps[1].After = []int{7} }, ``},
+		"progress in an unknown state":          {nil, `{"state":"dancing"}`},
+		"progress of a missing occurrence":      {nil, `{"state":"running","occurrences":{"7":[{},{}]}}`},
+		"progress of too few steps":             {nil, `{"state":"running","occurrences":{"0":[{}]}}`},
+		"a negative run number":                 {nil, `{"state":"running","occurrences":{"0":[{"runs":{"0":-1}},{}]}}`},
+		"a run number that none can follow":     {nil, `{"state":"running","occurrences":{"0":[{"runs":{"0":9223372036854775807}},{}]}}`},
+		"a failed run that none can follow":     {nil, `{"state":"running","occurrences":{"0":[{"failed-runs":{"0":[9223372036854775807]}},{}]}}`},
+		"a run number beyond 64 bits":           {nil, `{"state":"running","occurrences":{"0":[{"runs":{"0":1e300}},{}]}}`},
+		"deeply nested progress":                {nil, strings.Repeat("[", 10_000) + strings.Repeat("]", 10_000)},
+		"bytes that are no JSON":                {nil, "\xff"},
+	} {
+		It("does not restore, not even in part, "+name, func() {
+			j := twoStepJob("a")
+			if c.change != nil {
+				c.change(&j)
+			}
+			Expect(b.Restore(j, []byte(c.progress), now)).NotTo(Succeed())
+			Expect(b.Job("a")).To(BeNil())
+			Expect(b.LiveJobs()).To(BeEmpty())
+		})
+	}
 })
--- a/internal/batch/bookkeeper/record.go
+++ b/internal/batch/bookkeeper/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -76,7 +77,11 @@
 	return r
 }
 
-// Restore adds a job from its stored records: the accepted job and its encoded progress, which may be empty.
+// maxRestoredRunNumber is the highest plausible number of a run in a stored record. The numbers of many more runs can follow it.
+const maxRestoredRunNumber = math.MaxInt32
+
+// Restore adds a job from its stored records: the accepted job and its encoded progress, which may be empty. After an error, it has added
+// nothing.
 func (b *Bookkeeper) Restore(accepted job.Job, encodedProgress []byte, now time.Time) error {
 	var progress jobProgress
 	if len(encodedProgress) > 0 {
@@ -84,6 +89,12 @@
 			return eris.Wrapf(err, "bookkeeper: cannot decode the progress of job %s", accepted.ID)
 		}
 	}
+	if err := accepted.Validate(); err != nil {
+		return eris.Wrapf(err, "bookkeeper: the record of job %s is invalid", accepted.ID)
+	}
+	if err := progress.validate(accepted); err != nil {
+		return err
+	}
 	j := b.Accept(accepted)
 	if progress.State != "" {
 		j.visibleState = progress.State
@@ -93,9 +104,6 @@
 		return nil
 	}
 	for number, steps := range progress.Occurrences {
-		if number < 0 || number >= j.Occurrences || len(steps) != len(j.Steps) {
-			return eris.Errorf("bookkeeper: progress of job %s does not match its occurrences and steps", accepted.ID)
-		}
 		o := j.openOccurrence(number, now)
 		j.nextOccurrence = max(j.nextOccurrence, number+1)
 		for n, s := range steps {
@@ -113,6 +121,27 @@
 	return nil
 }
 
+// validate returns an error if the progress does not match the job, or contains an unknown state or a run number without plausible successors.
+func (p jobProgress) validate(j job.Job) error {
+	switch p.State {
+	case "", StateQueued, StateRunning, StateCompleted, StateFailed, StateCancelled:
+	default:
+		return eris.Errorf("bookkeeper: progress of job %s has an unknown state", j.ID)
+	}
+	for number, steps := range p.Occurrences {
+		if number < 0 || number >= j.Occurrences || len(steps) != len(j.Steps) {
+			return eris.Errorf("bookkeeper: progress of job %s does not match its occurrences and steps", j.ID)
+		}
+		for _, s := range steps {
+			numbers := slices.Concat(slices.Collect(maps.Values(s.LastRunNumbers)), slices.Concat(slices.Collect(maps.Values(s.FailedRuns))...))
+			if slices.ContainsFunc(numbers, func(n int) bool { return n < 0 || n > maxRestoredRunNumber }) {
+				return eris.Errorf("bookkeeper: progress of job %s has a run number that is out of range", j.ID)
+			}
+		}
+	}
+	return nil
+}
+
 // restore sets the progress of the step's tasks from the store.
 func (s *Step) restore(r stepProgress) {
 	for i, t := range s.Tasks {
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bamboohook/internal/batch/antagonist"
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/dispatcher"
@@ -137,6 +139,9 @@
 		}
 		var accepted jobRecord
 		err := json.Unmarshal(r.Value, &accepted)
+		if err == nil && accepted.Job.ID != id {
+			err = eris.New("coordinator: the record contains a job with another ID than its key")
+		}
 		if err == nil {
 			err = s.jobs.Restore(accepted.Job, progress[id], c.WallClock.Now())
 		}
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,7 @@
 
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/fleet/messenger"
+	"bamboohook/internal/fleet/storekeeper"
 	"bamboohook/resource"
 )
 
@@ -76,6 +78,28 @@
 		cluster.simulate(600 * time.Millisecond)
 		Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 1, "a.0.0.1": 1}))
 	})
+	// Guards against one odd record that makes each new owner end, or that hides the jobs in the other records.
+	for name, value := range map[string]string{
+		"no JSON": "\xff", "deeply nested": strings.Repeat("[", 10_000) + strings.Repeat("]", 10_000), "null": "null", "an empty object": "{}",
+		"the job of another key": `{"job":{"id":"z","queue":"q","steps":[{"tasks":1}],"occurrences":1}}`,
+		"a job of another type":  `{"job":5}`,
+		"a huge job":             `{"job":{"id":"odd","queue":"q","steps":[{"tasks":1000000000}],"occurrences":1}}`,
+	} {
+		It("takes over the other jobs if the record of one job contains "+name, func() {
+			submit(twoStepJob)
+			cluster.simulate(200 * time.Millisecond)
+			for _, key := range []string{"job/odd", "progress/b", "pressures", "unknown"} {
+				cluster.journal.records = append(cluster.journal.records, storekeeper.Record{Key: key, Value: []byte(value)})
+			}
+			cluster.takeOver()
+			cluster.simulate(time.Second)
+			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 1, "a.0.0.1": 1}))
+			Expect(cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: "a", Queue: "q"}).Outcome).To(Equal(messenger.OutcomeDone))
+			for _, id := range []string{"odd", "z", ""} {
+				Expect(cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: id, Queue: "q"}).Outcome).To(Equal(messenger.OutcomeNotFound), id)
+			}
+		})
+	}
 	It("does not wait for a VM whose endpoint process ended before the takeover", func() {
 		cluster.agents["vm-2"].state = messenger.VMNotListening
 		cluster.simulate(400 * time.Millisecond)
