--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -29,6 +29,7 @@
 		return err
 	}
 	store := platform.NewStore(settings.StoreAddress)
+	store.Log = logger
 	endpoint := platform.NewEndpoint(settings.EndpointAddress)
 	endpoint.Log = logger
 	m := &meter.Meter{}
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -60,6 +60,7 @@
 // newPlatformEntry creates the components of an entry and connects them, without starting them.
 func newPlatformEntry(settings platform.Settings, logger zerolog.Logger) *platformEntry {
 	store, peerClient, clock := platform.NewStore(settings.StoreAddress), &caller.Client{}, boottimer.Clock{}
+	store.Log = logger
 	e := &platformEntry{settings: settings, logger: logger, meter: &meter.Meter{}}
 	e.committer = &committer.Committer{Store: store, Clock: clock, Log: logger, Meter: e.meter}
 	e.elector = &elector.Elector{
