--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -78,7 +78,9 @@
 		MayGrantLeases: e.elector.MayGrantLeases,
 	}
 	if settings.AdviceAddress != "" {
-		e.coordinator.Advisor = platform.NewAdvisor(settings.AdviceAddress)
+		advisor := platform.NewAdvisor(settings.AdviceAddress)
+		advisor.Log = logger
+		e.coordinator.Advisor = advisor
 	}
 	e.committer.Collect, e.committer.OnFenced = e.coordinator.CollectWrite, e.elector.HandleFenced
 	e.elector.OnOwnershipGained, e.elector.OnOwnershipLost = e.handleOwnershipGained, e.handleOwnershipLost
