antagonist: reject a record with estimates out of range

Seen: a record with estimates of 1e308 or -1 was restored; the limit of the program then was -1e308, or 2. Cause: Restore did not check the values. Change: Restore rejects such a record as a whole; the owner logs it and starts with an empty model, as for one that is no JSON. Measured: both new tests failed before, at the comparison of the limit, and pass now. That Encode fails later because of such estimates (it panics at infinite ones) was not shown.

--- a/internal/batch/antagonist/antagonist_test.go
+++ b/internal/batch/antagonist/antagonist_test.go
@@ -68,6 +68,20 @@
 		Expect(restored.Restore([]byte("{"))).NotTo(Succeed())
 	})
 
+	// Guards against a record that makes each new owner end, because estimates that overflow cannot be encoded.
+	for name, encoded := range map[string]string{
+		"huge estimates":     `{"victims":[{"name":"v","rest":1e308,"own":1e308}],"pairs":[{"victim":"v","kind":"a","mean":1e308,"deviation":1e308}]}`,
+		"negative estimates": `{"victims":[{"name":"v","rest":-1,"own":-1}],"pairs":[{"victim":"v","kind":"a","mean":-1,"deviation":-1}]}`,
+	} {
+		It("rejects "+name+" in a record and can encode the model after more measurements", func() {
+			fresh, restored := &antagonist.Model{}, &antagonist.Model{}
+			Expect(restored.Restore([]byte(encoded))).To(MatchError(ContainSubstring("out of range")))
+			Expect(restored.Limit("v")).To(Equal(fresh.Limit("v")))
+			updateRepeatedly(restored, clock, 0.9, map[string]float64{"a": 0.3, "b": 0.2}, 10)
+			Expect(restored.Encode()).NotTo(BeEmpty())
+		})
+	}
+
 	It("ignores programs with a negligible share", func() {
 		updateRepeatedly(m, clock, 0.9, map[string]float64{"a": 0.005}, 10)
 		_, deviation := m.Interference("v", "a")
--- a/internal/batch/antagonist/record.go
+++ b/internal/batch/antagonist/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -11,6 +12,9 @@
 	"bamboohook/internal/batch/regressor"
 )
 
+// maxRestoredEstimate is the highest estimate that a record can contain. Utilisations are about 1 at most, and latency ratios seldom above 10.
+const maxRestoredEstimate = 1000
+
 type (
 	// record is the stored form of the model, from which a new owner of the jobs restores it. The own loads of the groups are left out,
 	// because they change within seconds.
@@ -64,6 +68,16 @@
 	if err := json.Unmarshal(encoded, &r); err != nil {
 		return eris.Wrap(err, "antagonist: cannot decode the interference model")
 	}
+	for _, recorded := range r.Programs {
+		if !plausible(recorded.UnloadedRatio) || !plausible(math.Abs(recorded.UsualLoad)) {
+			return eris.New("antagonist: an estimate for a program is out of range")
+		}
+	}
+	for _, p := range r.Pairs {
+		if !plausible(p.Mean) || !plausible(p.Deviation) {
+			return eris.New("antagonist: an estimated interference is out of range")
+		}
+	}
 	for _, recorded := range r.Programs {
 		v := m.longRunningProgram(recorded.Program)
 		v.unloadedRatio, v.usualOwnLoad.Mean = recorded.UnloadedRatio, recorded.UsualLoad
@@ -75,3 +89,6 @@
 	}
 	return nil
 }
+
+// plausible reports whether a restored estimate, which is a ratio, can be one of this model. Computations with others could overflow.
+func plausible(estimate float64) bool { return estimate >= 0 && estimate <= maxRestoredEstimate }
