attendant: a heartbeat of an unknown later process does not hide the endpoint's

Seen: after one heartbeat that names a process started in the far future, all heartbeats of the endpoint counted as late; the VM stayed in the state unknown and took no more runs. Cause: only the start times of the processes in heartbeats were compared. Change: a heartbeat of the process that lists the runs is not ignored because of one of another process. Measured: the new test failed before (state unknown after 1 s) and passes now, with the rest of the package.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -31,12 +31,12 @@
 }
 
 // HandleHeartbeat stores a heartbeat of the endpoint. It ignores heartbeats of an earlier endpoint process and those that arrive after a
-// later heartbeat of the same process.
+// later heartbeat of the same process. A heartbeat of the process that lists the runs is not ignored because of one of another process.
 func (a *Attendant) HandleHeartbeat(h Heartbeat) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	previous := a.heartbeat
-	if h.Incarnation < previous.Incarnation || h.Incarnation == previous.Incarnation && h.Sequence <= previous.Sequence {
+	if h.Incarnation < previous.Incarnation && h.Incarnation != a.incarnation || h.Incarnation == previous.Incarnation && h.Sequence <= previous.Sequence {
 		return
 	}
 	a.heartbeat = h
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -103,6 +103,16 @@
 		})
 	}
 
+	// Guards against a heartbeat of another writer, which names a process started in the far future, after which all heartbeats of the endpoint
+	// that lists the runs count as late.
+	It("accepts heartbeats of the process that lists the runs after one of an unknown later process", func() {
+		a.HandleHeartbeat(attendant.Heartbeat{EndpointID: "odd", Incarnation: 1 << 50, Sequence: 1, Service: "s"})
+		Eventually(func() string { return o.report().State }).Should(Equal(messenger.VMUnknown))
+		sendHeartbeat()
+		Eventually(func() string { return o.report().State }).Should(Equal(messenger.VMUp))
+		Expect(o.report().EndpointID).To(Equal("e"))
+	})
+
 	// Guards against a second start of a task whose run is listed in a row that cannot be read.
 	It("keeps a run whose row cannot be read, and reports the name of its task", func() {
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
