--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -60,6 +60,7 @@
 // newPlatformEntry creates the components of an entry and connects them, without starting them.
 func newPlatformEntry(settings platform.Settings, logger zerolog.Logger) *platformEntry {
 	store, peerClient, clock := platform.NewStore(settings.StoreAddress), &caller.Client{}, boottimer.Clock{}
+	store.Log = logger
 	e := &platformEntry{settings: settings, logger: logger, meter: &meter.Meter{}}
 	e.committer = &committer.Committer{Store: store, Clock: clock, Log: logger, Meter: e.meter}
 	e.elector = &elector.Elector{
@@ -77,7 +78,9 @@
 		MayGrantLeases: e.elector.MayGrantLeases,
 	}
 	if settings.AdviceAddress != "" {
-		e.coordinator.Advisor = platform.NewAdvisor(settings.AdviceAddress)
+		advisor := platform.NewAdvisor(settings.AdviceAddress)
+		advisor.Log = logger
+		e.coordinator.Advisor = advisor
 	}
 	e.committer.Collect, e.committer.OnFenced = e.coordinator.CollectWrite, e.elector.HandleFenced
 	e.elector.OnOwnershipGained, e.elector.OnOwnershipLost = e.handleOwnershipGained, e.handleOwnershipLost
