attendant, coordinator: runs are listed under a token of the owner's epoch

Callers could see a task run twice after a take-over: the new owner took the runs of a VM as known from a process that was killed before the endpoint had received a token of the new epoch. Its successor knew no epoch, found the former owner, which was not aware of its successor yet, and executed its starts. Change: a new number makes the agent list the runs again at once, and they count as listed only under its token. A process that is fenced looks for another owner.

--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -247,7 +247,7 @@
 			}
 			x = c.adoptRun(v, reported, now)
 		}
-		x.expectedInReports, x.mayReachNextProcess = true, false
+		x.expectedInReports, x.mayReachNextProcess = true, x.mayReachNextProcess || reported.StartUnanswered
 		if !reported.Unconfirmed {
 			c.confirmRun(x)
 		}
@@ -261,7 +261,7 @@
 		x.lastReport = reported
 	}
 	for name, x := range v.runs {
-		if !r.Listed && x.mayReachNextProcess && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
+		if x.mayReachNextProcess && (!r.Listed || r.State == messenger.VMNotListening) && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
 			continue
 		}
 		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number && !slices.Contains(r.UnreadableTasks, name) {
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -29,6 +29,7 @@
 	a.initialize()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { a.listLoop(ctx); return nil })
+	group.Go(func() error { a.requestedListLoop(ctx); return nil })
 	group.Go(func() error { a.reportLoop(ctx); return nil })
 	return group.Wait()
 }
@@ -71,7 +72,7 @@
 	defer a.mutex.Unlock()
 	if a.reportRequests == nil {
 		a.startedAt, a.generation = a.Clock.Now(), a.Generation
-		a.reportRequests = make(chan struct{}, 1)
+		a.reportRequests, a.listRequests = make(chan struct{}, 1), make(chan struct{}, 1)
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
 		a.fencingToken, a.decisiveToken = 1, math.MaxUint64
 		a.Log.Info().Str("generation", a.Generation).Uint64("token", a.fencingToken).Msg("agent process begins to list runs")
@@ -89,6 +90,14 @@
 	}
 }
 
+// requestList makes requestedListLoop send a list request at once. The caller holds the mutex.
+func (a *Attendant) requestList() {
+	select {
+	case a.listRequests <- struct{}{}:
+	default:
+	}
+}
+
 // reportLoop sends reports to the owner, one at a time, until ctx is done. It looks for the owner while none accepts the reports.
 func (a *Attendant) reportLoop(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -193,7 +202,7 @@
 	}
 	for _, x := range a.runs {
 		reported := x.Run
-		reported.Unconfirmed = x.phase != phaseRunning
+		reported.Unconfirmed, reported.StartUnanswered = x.phase != phaseRunning, x.startUnanswered
 		r.Runs = append(r.Runs, reported)
 	}
 	return r, now
@@ -225,9 +234,11 @@
 	case response.Session != 0 && response.Session != a.session && r.Generation == a.generation:
 		a.session = response.Session
 		a.fencingToken = max(a.fencingToken+1, a.epoch<<(sessionBits+counterBits)|a.session<<counterBits)
-		a.decisiveToken = min(a.decisiveToken, a.fencingToken)
+		// The endpoint must have received a token of this epoch before the runs count as listed. Otherwise, if this process ended, its successor
+		// could still execute starts for the owner of an earlier epoch.
+		a.listed, a.decisiveToken = false, a.fencingToken
 		a.Log.Info().Uint64("epoch", a.epoch).Uint64("session", a.session).Uint64("token", a.fencingToken).Msg("the owner has numbered this agent process")
-		a.requestReport()
+		a.requestList()
 	}
 }
 
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -153,6 +153,8 @@
 		startedAt time.Time
 		// reportRequests is a channel on which requestReport makes reportLoop send a report at once.
 		reportRequests chan struct{}
+		// listRequests is a channel on which requestList makes requestedListLoop send a list request at once.
+		listRequests chan struct{}
 		// cancelReport cancels the report in progress. It is nil if there is none.
 		cancelReport context.CancelFunc
 		// epoch is the highest known epoch. owner is the address of its owner, or "" if that is unknown or did not respond.
@@ -223,6 +225,8 @@
 		// took effect. absent reports that such a response did not contain the run.
 		decisiveToken uint64
 		absent        bool
+		// startUnanswered reports whether a start call had no response, so that it may still reach the next endpoint process.
+		startUnanswered bool
 	}
 
 	phase int
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -111,6 +111,7 @@
 		earlierAttemptsFenced = earlierAttemptsFenced && errors.Is(err, ErrFenced)
 	}
 	a.mutex.Lock()
+	x.startUnanswered = !earlierAttemptsFenced
 	switch {
 	case err == nil:
 		x.phase, x.confirmedAt = phaseRunning, a.Clock.Now()
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// requestedListLoop sends a list request whenever requestList was called, until ctx is done. It does not wait for the list request of listLoop,
+// to which the endpoint may delay its response.
+func (a *Attendant) requestedListLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.listRequests:
+			a.list(ctx, 0)
+		}
+	}
+}
+
 // tokenRejected reports whether the endpoint process has rejected the current fencing token because it has seen a higher one.
 func (a *Attendant) tokenRejected() bool {
 	a.mutex.Lock()
@@ -128,6 +141,7 @@
 			Msg("endpoint has seen a higher fencing token")
 		a.rejectedToken = max(a.rejectedToken, q.FencingToken)
 		if a.session != 0 && a.fencingToken == q.FencingToken {
+			a.owner = ""
 			a.renewGeneration("another agent process has used a higher token")
 		}
 		return
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -107,6 +107,9 @@
 		Progress int `json:"percent"`
 		// Unconfirmed means that the agent has ordered the start and doesn't know yet whether the endpoint has executed it.
 		Unconfirmed bool `json:"unconfirmed,omitempty"`
+		// StartUnanswered means that a copy of the start had no response. It may still reach the next endpoint process, also if the endpoint
+		// has confirmed another copy.
+		StartUnanswered bool `json:"start-unanswered,omitempty"`
 		// LatencyOrUsage is the tail latency in milliseconds of a long-running task with a latency target. For other tasks it is the
 		// number of milli-processors in use.
 		LatencyOrUsage int `json:"figure"`
