attendant: a new agent process asks all entries for the newest owner

Callers could see a task run twice: a restarted agent knew no epoch, its first seed was a former owner that was not aware of its successor, and the agent executed its starts, while the successor counted the VM's runs as known. Change: before its first report the process asks its seeds and the entries that they name, at most 300 ms for all, and reports to the owner of the highest epoch. It remains possible while no other entry than the former owner responds. Measured: the new test fails without the survey (the former owner is used).

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,6 +18,9 @@
 	reportInterval = 400 * time.Millisecond
 	// reportTimeout bounds the wait for the owner's response. After it the agent sends its next report to another entry.
 	reportTimeout = 600 * time.Millisecond
+	// surveyTimeout bounds the wait for the responses of all entries when the agent starts. An entry that is frozen or cut off delays the agent
+	// by that time.
+	surveyTimeout = 300 * time.Millisecond
 	// ownerRetryPause is the time between two reports while no owner accepts them.
 	ownerRetryPause = 60 * time.Millisecond
 	// A fencing token consists of the epoch, the session and a counter, from the highest bits to the lowest. So the tokens of an agent process
@@ -100,6 +105,7 @@
 
 // reportLoop sends reports to the owner, one at a time, until ctx is done. It looks for the owner while none accepts the reports.
 func (a *Attendant) reportLoop(ctx context.Context) {
+	a.surveyEntries(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for failures := 0; ; {
@@ -124,6 +130,45 @@
 	}
 }
 
+// surveyEntries sends a report to each known entry and stores the owner with the highest epoch in the responses. A new agent process knows no
+// epoch. Without the survey it could obey a former owner that is not aware of its successor yet, although the previous process had reported to
+// the successor.
+func (a *Attendant) surveyEntries(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	asked := map[string]struct{}{}
+	entries := a.Seeds
+	for len(entries) > 0 && ctx.Err() == nil {
+		var (
+			group sync.WaitGroup
+			mutex sync.Mutex
+			found []string
+		)
+		for _, entry := range entries {
+			if _, ok := asked[entry]; ok {
+				continue
+			}
+			asked[entry] = struct{}{}
+			group.Go(func() {
+				r, _ := a.composeReport()
+				response, err := a.Reporter.SendReport(ctx, entry, r)
+				if err != nil {
+					a.Log.Info().Err(err).Str("entry", entry).Msg("entry has not told the new agent process of an owner")
+					return
+				}
+				a.mutex.Lock()
+				a.observeOwner(response.Epoch, response.Owner)
+				a.mutex.Unlock()
+				mutex.Lock()
+				found = append(found, response.Entries...)
+				mutex.Unlock()
+			})
+		}
+		group.Wait()
+		entries = slices.DeleteFunc(found, func(entry string) bool { _, ok := asked[entry]; return ok })
+	}
+}
+
 // reportTarget returns the address for the next report. It is that of the owner or, while no owner is known, that of each known entry in
 // turn. failures is the number of reports that have failed in a row.
 func (a *Attendant) reportTarget(failures int) string {
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -228,6 +229,39 @@
 		Eventually(first).Should(Receive())
 	})
 
+	// Guards against a restarted agent that obeys a former owner, which is not aware of its successor, because it asks that owner first.
+	It("reports to the owner of the highest epoch that any entry names when it starts", func() {
+		stop()
+		var mutex sync.Mutex
+		reports := map[string]int{}
+		successor := &attendant.Attendant{
+			Address: "vm", Generation: "h", Endpoint: e, Clock: boottimer.Clock{}, Log: zerolog.Nop(), LeaseDurations: a.LeaseDurations,
+			Seeds: []string{"former", "dead", "other"},
+			Reporter: reporterFunc(func(entry string, r messenger.Report) (messenger.ReportResponse, error) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				reports[entry]++
+				switch entry {
+				case "former":
+					return messenger.ReportResponse{Owner: "former", Epoch: 3, Session: 9, Granted: true, Incarnation: r.Incarnation}, nil
+				case "other":
+					return messenger.ReportResponse{Owner: "owner", Epoch: 4, Entries: []string{"owner", "former"}}, nil
+				case "owner":
+					return messenger.ReportResponse{Owner: "owner", Epoch: 4, Session: 1, Granted: true, Incarnation: r.Incarnation}, nil
+				}
+				return messenger.ReportResponse{}, errNoResponse
+			}),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = successor.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-ended })
+		Eventually(func() int { mutex.Lock(); defer mutex.Unlock(); return reports["owner"] }).Should(BeNumerically(">", 2))
+		mutex.Lock()
+		defer mutex.Unlock()
+		Expect(reports["former"]).To(Equal(1))
+	})
+
 	// Guards against a restarted agent that counts its first list of runs as complete, although a start of its predecessor takes effect later.
 	It("lists the runs under a token that keeps delayed starts of earlier agent processes from taking effect", func() {
 		lastToken := func() uint64 { e.mutex.Lock(); defer e.mutex.Unlock(); return e.queries[len(e.queries)-1].FencingToken }
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -201,6 +201,13 @@
 	reportsWithoutRuns int
 }
 
+// reporterFunc is a fake of the connection to the entries that consists of one function.
+type reporterFunc func(entry string, r messenger.Report) (messenger.ReportResponse, error)
+
+func (f reporterFunc) SendReport(_ context.Context, entry string, r messenger.Report) (messenger.ReportResponse, error) {
+	return f(entry, r)
+}
+
 func (o *reporter) SendReport(ctx context.Context, entry string, r messenger.Report) (messenger.ReportResponse, error) {
 	o.mutex.Lock()
 	if o.unresponsiveAddress == entry {
