bookkeeper, coordinator: a found result does not tell who has started the next step

It called RunStarted for results that a new owner finds, and that also marked the task as found running, so that the owner started the next step before all runs were known, although the former owner had started it without a record. Change: JobStarted records the start of a job and nothing else.

--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -86,7 +86,7 @@
 		// waiting reports whether the task waits for its next start, running whether a run of the task was started or found and has not ended.
 		waiting bool
 		running bool
-		// orderedOrFound reports whether RunOrdered or RunStarted was called for the task under the current owner.
+		// orderedOrFound reports whether RunOrdered was called for the task under the current owner.
 		orderedOrFound bool
 		// waitingSince is when the task last began to wait for its start.
 		waitingSince time.Time
@@ -220,16 +220,21 @@
 	}
 }
 
-// RunOrdered records that the start of a run of the task was ordered. The run may not exist, so the job has not started yet.
+// RunOrdered records that the start of a run of the task was ordered, or that a run was found on a VM and has not ended. A run that was only
+// ordered may not exist, so the job has not started yet.
 func (b *Bookkeeper) RunOrdered(t *Task, number int) {
 	t.waiting, t.running, t.orderedOrFound = false, true, true
 	t.lastRunNumber = max(t.lastRunNumber, number)
 }
 
-// RunStarted records that a run of the task has started, or that one was found on a VM.
+// RunStarted records that a run of the task has started.
 func (b *Bookkeeper) RunStarted(t *Task, number int) {
 	b.RunOrdered(t, number)
-	j := t.Step.Job
+	b.JobStarted(t.Step.Job)
+}
+
+// JobStarted records that a run of one of the job's tasks exists or has existed.
+func (*Bookkeeper) JobStarted(j *Job) {
 	j.started = true
 	if j.state == StateQueued {
 		j.state = StateRunning
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -266,7 +266,7 @@
 	if !j.HasStarted() && j.FirstDue.IsZero() {
 		c.Meter.Observe("first-start", c.WallClock.Now().Sub(j.AcceptedAt))
 	}
-	c.state.jobs.RunStarted(x.task, x.number)
+	c.state.jobs.JobStarted(j)
 }
 
 // addOrders adds the order that is due for the run, if any: its start, its stop or its pace.
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -158,4 +158,34 @@
 		cluster.simulate(2 * time.Second)
 		Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.1.0": 1}))
 	})
+	// Guards against a second run of a task. The previous owner starts a step as soon as the runs of the steps before it have ended, also while
+	// it cannot record their results. Their results alone do not tell a new owner that nobody has started the step.
+	It("does not start a step whose previous steps have ended with unrecorded results until it knows all runs", func() {
+		submit(twoStepJob)
+		cluster.simulate(200 * time.Millisecond)
+		cluster.journal.blocked = true
+		var last *agent
+		for _, a := range cluster.agents {
+			if len(a.runs) == 0 {
+				last = a
+			} else {
+				a.state = messenger.VMDraining
+			}
+		}
+		Expect(last).NotTo(BeNil(), "a VM without runs of the first step")
+		cluster.simulate(400 * time.Millisecond)
+		cluster.finishAllRuns(messenger.RunDone)
+		cluster.simulate(400 * time.Millisecond)
+		Expect(last.runs).To(HaveKey("a.0.1.0"))
+		last.silent = true
+		for _, a := range cluster.agents {
+			a.state = messenger.VMUp
+		}
+		cluster.takeOver()
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.1.0": 1}))
+		last.silent = false
+		cluster.simulate(time.Second)
+		Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.1.0": 1}))
+	})
 })
