coordinator: randomized test of owner, agents and endpoints (draft)

Cause: no test plays owner, agent and endpoint together under late calls and restarts. Change: TestTaskNeverRunsTwice with fakes of endpoint, network and store, in virtual time.

--- /dev/null
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -0,0 +1,358 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bamboohook/internal/fleet/attendant"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/resource"
+)
+
+const (
+	// maxSimLease is the longest lease that an endpoint gives. simClockRate is the speed of the endpoint clocks, the slowest one that the
+	// protocol permits.
+	maxSimLease  = 6 * time.Second
+	simClockRate = 0.98
+	// maxStopTime is the longest time that an endpoint takes to stop a run.
+	maxStopTime = 300 * time.Millisecond
+	// startupTime is the time until a long-running task reports a progress of 100 percent.
+	startupTime = 200 * time.Millisecond
+	// failedRunShare is the share of the runs of tasks that end that fail.
+	failedRunShare = 0.06
+	minRunTime     = 300 * time.Millisecond
+	maxRunTime     = 2 * time.Second
+	vmProcessors   = 4000
+)
+
+type (
+	// simEndpoint is the address of the endpoint on a VM. process is nil while no endpoint process listens there.
+	simEndpoint struct {
+		world   *simWorld
+		vm      string
+		process *endpointProcess
+	}
+
+	// endpointProcess is one incarnation of an endpoint. The mutex of the world protects it.
+	endpointProcess struct {
+		endpoint *simEndpoint
+		id       string
+		bornAt   time.Time
+		// highestToken is the highest fencing token in a call.
+		highestToken uint64
+		leaseUntil   time.Time
+		leaseTimer   *time.Timer
+		runs         map[string]*endpointRun
+		// highestEnded contains, by task, the highest number of a run that was stopped or has ended.
+		highestEnded map[string]int
+		results      []messenger.RunResult
+		lastSequence int64
+		// resultAdded is closed and replaced when a run ends.
+		resultAdded chan struct{}
+		// heartbeats is the number of heartbeats sent.
+		heartbeats int64
+	}
+
+	endpointRun struct {
+		messenger.Run
+		startedAt time.Time
+		stopping  bool
+	}
+
+	// endpointClient is the connection of one agent process to the endpoint on its VM.
+	endpointClient struct {
+		endpoint *simEndpoint
+		agent    *agentProcess
+	}
+)
+
+var errEndpointEnded = eris.New("endpoint process ended during the call")
+
+// incarnation returns the start time of the process in Unix milliseconds.
+func (p *endpointProcess) incarnation() int64 { return p.bornAt.UnixMilli() }
+
+func (p *endpointProcess) clockMS() int64 {
+	return int64(float64(time.Since(p.bornAt).Milliseconds()) * simClockRate)
+}
+
+func (p *endpointProcess) lives() bool { return p.endpoint.process == p }
+
+// admit checks the incarnation and the fencing token of a call.
+func (p *endpointProcess) admit(id string, token uint64) error {
+	if id != "" && id != p.id {
+		return attendant.ErrOtherIncarnation
+	}
+	if token < p.highestToken {
+		return attendant.ErrFenced
+	}
+	p.highestToken = token
+	return nil
+}
+
+// extendLease extends the lease of all runs to a time on the clock of the process.
+func (p *endpointProcess) extendLease(deadlineMS int64) {
+	leftOnClock := min(time.Duration(deadlineMS-p.clockMS())*time.Millisecond, maxSimLease)
+	left := time.Duration(float64(leftOnClock) / simClockRate)
+	until := time.Now().Add(left)
+	if deadlineMS == 0 || left <= 0 || !until.After(p.leaseUntil) {
+		return
+	}
+	p.leaseUntil = until
+	if p.leaseTimer != nil {
+		p.leaseTimer.Stop()
+	}
+	p.leaseTimer = time.AfterFunc(left, func() {
+		p.endpoint.world.locked(func(w *simWorld) {
+			if !p.lives() || time.Now().Before(p.leaseUntil) {
+				return
+			}
+			w.log("", "%s: lease expires", p.id)
+			w.leaseExpired(p)
+			for task := range p.runs {
+				p.end(task, messenger.RunLeaseExpired)
+			}
+		})
+	})
+}
+
+// start executes a start. origin says, for the history, how the call has reached the endpoint.
+func (p *endpointProcess) start(c attendant.StartCall, origin string) error {
+	w := p.endpoint.world
+	err := p.startRun(c, origin)
+	if err != nil {
+		w.log(c.Task, "%s refuses run %d (token %d, %s): %v", p.id, c.Number, c.FencingToken, origin, err)
+	}
+	return err
+}
+
+func (p *endpointProcess) startRun(c attendant.StartCall, origin string) error {
+	if err := p.admit(c.EndpointID, c.FencingToken); err != nil {
+		return err
+	}
+	p.extendLease(c.DeadlineMS)
+	present := p.runs[c.Task]
+	switch {
+	case present != nil && present.Number == c.Number:
+		return nil
+	case c.DeadlineMS <= p.clockMS():
+		return eris.Wrap(attendant.ErrRefused, "late")
+	case present != nil, c.Number <= p.highestEnded[c.Task]:
+		return eris.Wrap(attendant.ErrRefused, "old")
+	}
+	w := p.endpoint.world
+	r := &endpointRun{Run: messenger.Run{Task: c.Task, Number: c.Number}, startedAt: time.Now()}
+	p.runs[c.Task] = r
+	w.log(c.Task, "%s starts run %d (token %d, %s)", p.id, c.Number, c.FencingToken, origin)
+	w.runStarted(p, r)
+	outcome, duration := w.drawRun(c.Task, c.Number)
+	if outcome != "" {
+		time.AfterFunc(duration, func() {
+			w.locked(func(*simWorld) { p.endIfPresent(r, outcome) })
+		})
+	}
+	return nil
+}
+
+// drawRun returns the outcome of a run and its duration. Both only depend on the seed and the run. The outcome is empty for a long-running
+// task.
+func (w *simWorld) drawRun(task string, number int) (string, time.Duration) {
+	if w.isLongRunning(task) {
+		return "", 0
+	}
+	h := fnv.New64a()
+	fmt.Fprint(h, task, "/", number)
+	r := rand.New(rand.NewPCG(w.seed, h.Sum64()))
+	outcome := messenger.RunDone
+	if r.Float64() < failedRunShare {
+		outcome = messenger.RunFailed
+	}
+	return outcome, minRunTime + time.Duration(r.Int64N(int64(maxRunTime-minRunTime)))
+}
+
+// endIfPresent ends a run unless it has ended before or its process has.
+func (p *endpointProcess) endIfPresent(r *endpointRun, outcome string) {
+	if p.lives() && p.runs[r.Task] == r {
+		p.end(r.Task, outcome)
+	}
+}
+
+// end ends the run of a task and adds its result.
+func (p *endpointProcess) end(task, outcome string) {
+	r := p.runs[task]
+	delete(p.runs, task)
+	p.highestEnded[task] = max(p.highestEnded[task], r.Number)
+	p.lastSequence++
+	p.results = append(p.results, messenger.RunResult{Sequence: p.lastSequence, Task: task, Number: r.Number, Outcome: outcome})
+	close(p.resultAdded)
+	p.resultAdded = make(chan struct{})
+	p.endpoint.world.log(task, "%s: run %d ends as %s, result %d", p.id, r.Number, outcome, p.lastSequence)
+	p.endpoint.world.runEnded(p, r, outcome, p.lastSequence)
+}
+
+// stop executes a stop. The run ends within maxStopTime.
+func (p *endpointProcess) stop(c attendant.StopCall, origin string) error {
+	if err := p.admit(c.EndpointID, c.FencingToken); err != nil {
+		return err
+	}
+	w := p.endpoint.world
+	w.log(c.Task, "%s is told to stop run %d (token %d, %s)", p.id, c.Number, c.FencingToken, origin)
+	p.highestEnded[c.Task] = max(p.highestEnded[c.Task], c.Number)
+	if r := p.runs[c.Task]; r != nil && r.Number <= c.Number && !r.stopping {
+		r.stopping = true
+		time.AfterFunc(w.duration(0, maxStopTime), func() {
+			w.locked(func(*simWorld) { p.endIfPresent(r, messenger.RunStopped) })
+		})
+	}
+	return nil
+}
+
+// hold executes the part of a list request that changes the process. issuedAt is when the agent sent the request.
+func (p *endpointProcess) hold(q attendant.ListQuery, issuedAt time.Time) error {
+	if err := p.admit(q.EndpointID, q.FencingToken); err != nil {
+		return err
+	}
+	p.extendLease(q.DeadlineMS)
+	kept := p.results[:0:0]
+	for _, r := range p.results {
+		if r.Sequence > q.RecordedSequence {
+			kept = append(kept, r)
+			continue
+		}
+		p.endpoint.world.resultDiscarded(p, r, issuedAt)
+	}
+	p.results = kept
+	return nil
+}
+
+// listing returns the response to a list request.
+func (p *endpointProcess) listing() attendant.Listing {
+	l := attendant.Listing{Incarnation: p.incarnation(), ClockMS: p.clockMS(), Results: append([]messenger.RunResult{}, p.results...)}
+	for _, r := range p.runs {
+		listed := r.Run
+		if time.Since(r.startedAt) > startupTime && p.endpoint.world.isLongRunning(r.Task) {
+			listed.Progress = 100
+		}
+		l.Runs = append(l.Runs, listed)
+	}
+	return l
+}
+
+// heartbeat returns the next heartbeat of the process.
+func (p *endpointProcess) heartbeat() attendant.Heartbeat {
+	p.heartbeats++
+	return attendant.Heartbeat{
+		EndpointID: p.id, Incarnation: p.incarnation(), Sequence: p.heartbeats, Service: "s", Rack: "r",
+		Capacity: resource.Amount{MilliProcessors: vmProcessors, MemoryBytes: vmProcessors},
+	}
+}
+
+// call sends a call to the endpoint. task is the task that it concerns, or empty. execute runs with the mutex of the world locked, at once or, if the call gets no answer, maybe later.
+func (c *endpointClient) call(ctx context.Context, task string, rates callFaults, execute func(p *endpointProcess, origin string) error) error {
+	w := c.endpoint.world
+	w.pause(ctx, minCallDelay, maxCallDelay)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	var err error
+	var late, lost bool
+	w.locked(func(w *simWorld) {
+		late, lost = !w.calm && w.chance(rates.late), !w.calm && w.chance(rates.lost)
+		switch {
+		case c.endpoint.process == nil:
+			err, late, lost = attendant.ErrNotListening, false, false
+		case !late:
+			err = execute(c.endpoint.process, "at once")
+		}
+		if late || lost {
+			w.log(task, "%s: a call of %s gets no answer; executed later: %t", c.endpoint.vm, c.agent.generation, late)
+		}
+	})
+	if late {
+		c.executeLate(execute)
+	}
+	if late || lost {
+		w.killSoon(c.agent)
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	w.pause(ctx, minCallDelay, maxCallDelay)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// executeLate executes a call some seconds later at the endpoint process that then exists.
+func (c *endpointClient) executeLate(execute func(p *endpointProcess, origin string) error) {
+	w := c.endpoint.world
+	sentAt := time.Now()
+	delay := w.duration(minLateDelay, w.pick(shortLateDelay, maxLateDelay))
+	w.later(delay, func(w *simWorld) {
+		if c.endpoint.process != nil {
+			_ = execute(c.endpoint.process, fmt.Sprintf("sent at %s by %s", w.at(sentAt), c.agent.generation))
+		}
+	})
+}
+
+// List implements attendant.Endpoint.
+func (c *endpointClient) List(ctx context.Context, q attendant.ListQuery) (attendant.Listing, error) {
+	w := c.endpoint.world
+	issuedAt := time.Now()
+	var process *endpointProcess
+	var answer attendant.Listing
+	var resultAdded chan struct{}
+	waits := false
+	err := c.call(ctx, "", w.listFaults, func(p *endpointProcess, _ string) error {
+		if err := p.hold(q, issuedAt); err != nil {
+			return err
+		}
+		if time.Since(issuedAt) <= 2*maxCallDelay {
+			process, answer, resultAdded = p, p.listing(), p.resultAdded
+			waits = len(answer.Results) == 0 && q.MaxWait > 0
+		}
+		return nil
+	})
+	if err != nil || !waits {
+		return answer, err
+	}
+	timer := time.NewTimer(q.MaxWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return attendant.Listing{}, ctx.Err()
+	case <-resultAdded:
+	case <-timer.C:
+	}
+	w.locked(func(*simWorld) {
+		switch {
+		case !process.lives():
+			err = errEndpointEnded
+		case q.FencingToken < process.highestToken:
+			err = attendant.ErrFenced
+		default:
+			answer = process.listing()
+		}
+	})
+	w.pause(ctx, minCallDelay, maxCallDelay)
+	return answer, err
+}
+
+// Start implements attendant.Endpoint.
+func (c *endpointClient) Start(ctx context.Context, s attendant.StartCall) error {
+	return c.call(ctx, s.Task, c.endpoint.world.startFaults, func(p *endpointProcess, origin string) error { return p.start(s, origin) })
+}
+
+// Stop implements attendant.Endpoint.
+func (c *endpointClient) Stop(ctx context.Context, s attendant.StopCall) error {
+	return c.call(ctx, s.Task, c.endpoint.world.startFaults, func(p *endpointProcess, origin string) error { return p.stop(s, origin) })
+}
+
+// Pace implements attendant.Endpoint. No run of the test is paced.
+func (c *endpointClient) Pace(ctx context.Context, p attendant.PaceCall) error {
+	return c.call(ctx, p.Task, callFaults{}, func(e *endpointProcess, _ string) error { return e.admit(p.EndpointID, p.FencingToken) })
+}
--- /dev/null
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -0,0 +1,306 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bamboohook/internal/batch/coordinator"
+	"bamboohook/internal/batch/dispatcher"
+	"bamboohook/internal/fleet/committer"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/internal/fleet/sleeper"
+	"bamboohook/internal/fleet/storekeeper"
+)
+
+const (
+	simQueue = "q"
+	// simAttempts is the number of failed runs of a task with which its job fails.
+	simAttempts = 4
+	// simRetention is longer than a world exists.
+	simRetention = time.Hour
+	// maxStoreDelay is the longest time of each way between an owner and the store.
+	maxStoreDelay = 4 * time.Millisecond
+	maxMissTime   = 4 * time.Second
+)
+
+var (
+	errNotReachable = eris.New("connection refused")
+	// simLeases holds the durations of internal/cli/platform.go.
+	simLeases      = coordinator.Leases{Grant: 2500 * time.Millisecond, Run: 4 * time.Second, Contact: 2 * time.Second, Drift: 500 * time.Millisecond}
+	ownerAddresses = []string{"owner-a", "owner-b"}
+)
+
+type (
+	// simStore holds the records of the jobs. It refuses writes of all epochs but the newest.
+	simStore struct {
+		epoch  uint64
+		values map[string][]byte
+	}
+
+	// simOwner is an entry that is or was the owner. It stays unaware of a later owner until resigned is closed.
+	simOwner struct {
+		world       *simWorld
+		address     string
+		epoch       uint64
+		coordinator *coordinator.Coordinator
+		// grantsUntil is zero while the owner has contact with the store.
+		grantsUntil time.Time
+		resigned    chan struct{}
+		wake        chan struct{}
+		mutex       sync.Mutex
+		queue       []committer.Write
+	}
+
+	// simReporter sends reports over the network.
+	simReporter struct{ world *simWorld }
+)
+
+// newestRecords returns the newest record of each key.
+func (s *simStore) newestRecords() []storekeeper.Record {
+	var records []storekeeper.Record
+	for key, value := range s.values {
+		records = append(records, storekeeper.Record{Key: key, Value: value})
+	}
+	return records
+}
+
+// takeOver makes another entry the owner. The previous owner stays unaware of that for the given time.
+func (w *simWorld) takeOver(unaware time.Duration) {
+	o := &simOwner{world: w, resigned: make(chan struct{}), wake: make(chan struct{}, 1)}
+	o.coordinator = &coordinator.Coordinator{
+		Agents: o, Journal: o, Clock: simClock{}, WallClock: simClock{}, Leases: simLeases,
+		Limits: coordinator.Limits{Retention: simRetention, MissTolerance: maxMissTime}, MayGrantLeases: o.mayGrantLeases,
+	}
+	var records []storekeeper.Record
+	w.locked(func(w *simWorld) {
+		previous := w.owner
+		w.records.epoch++
+		o.epoch, o.address, records = w.records.epoch, ownerAddresses[w.records.epoch%2], w.records.newestRecords()
+		if previous != nil {
+			previous.grantsUntil = time.Now().Add(min(unaware, simLeases.Contact))
+			time.AfterFunc(unaware, func() {
+				close(previous.resigned)
+				previous.coordinator.Resign(previous.epoch, "takeover")
+			})
+		}
+		w.log("", "owner of epoch %d takes over; the previous one learns of it after %v", o.epoch, unaware)
+	})
+	o.coordinator.Address = o.address
+	o.coordinator.Log = zerolog.New(simLog{world: w, name: fmt.Sprint("owner of epoch ", o.epoch)})
+	o.coordinator.Configure(1, map[string]coordinator.Queue{
+		simQueue: {Queue: dispatcher.Queue{Service: "s", Attempts: simAttempts, Stretch: 2, Target: time.Second}},
+	})
+	o.coordinator.TakeOwnership(o.epoch, records)
+	w.locked(func(w *simWorld) { w.owner, w.entries[o.address] = o, o })
+	go func() { _ = o.coordinator.Run(w.ctx) }()
+	go o.writeLoop()
+}
+
+func (w *simWorld) presentOwner() *simOwner {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.owner
+}
+
+func (o *simOwner) isResigned() bool {
+	select {
+	case <-o.resigned:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *simOwner) mayGrantLeases() bool {
+	o.world.mutex.Lock()
+	defer o.world.mutex.Unlock()
+	return o.grantsUntil.IsZero() || time.Now().Before(o.grantsUntil)
+}
+
+// Append implements coordinator.Journal.
+func (o *simOwner) Append(w committer.Write) {
+	o.mutex.Lock()
+	o.queue = append(o.queue, w)
+	o.mutex.Unlock()
+	o.Notify()
+}
+
+// Notify implements coordinator.Journal.
+func (o *simOwner) Notify() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Degraded implements coordinator.Journal.
+func (*simOwner) Degraded() bool { return false }
+
+// writeLoop stores the writes, one batch at a time, until the world ends.
+func (o *simOwner) writeLoop() {
+	w := o.world
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-o.wake:
+		}
+		w.pause(w.ctx, 0, maxStoreDelay)
+		o.mutex.Lock()
+		writes := o.queue
+		o.queue = nil
+		o.mutex.Unlock()
+		if c, ok := o.coordinator.CollectWrite(); ok {
+			writes = append(writes, c)
+		}
+		w.pause(w.ctx, 0, maxStoreDelay)
+		stored := false
+		w.locked(func(w *simWorld) {
+			if stored = w.records.epoch == o.epoch; !stored {
+				return
+			}
+			for _, batch := range writes {
+				for _, r := range batch.Records {
+					if w.records.values[r.Key] = r.Value; len(r.Value) == 0 {
+						delete(w.records.values, r.Key)
+					}
+				}
+			}
+		})
+		var err error
+		if !stored {
+			err = storekeeper.ErrFenced
+			select {
+			case <-w.ctx.Done():
+			case <-o.resigned:
+			}
+		}
+		w.pause(w.ctx, 0, maxStoreDelay)
+		for _, batch := range writes {
+			batch.Done(err)
+		}
+	}
+}
+
+// travel returns how long a message is on the way and whether it is lost.
+func (w *simWorld) travel() (time.Duration, bool) {
+	d := w.duration(minMessageDelay, maxMessageDelay)
+	calm := false
+	w.locked(func(w *simWorld) { calm = w.calm })
+	if !w.faults.lateMessages || calm {
+		return d, false
+	}
+	if w.chance(lateMessageShare) {
+		d = w.duration(maxMessageDelay, maxFaultyDelay)
+	}
+	return d, w.chance(lostMessageShare)
+}
+
+// deliver sends a message and returns its response. handle is called where the message arrives, also after ctx has ended. It returns false if
+// there is no response.
+func deliver[T any](ctx context.Context, w *simWorld, handle func() (T, error, bool)) (T, error) {
+	type outcome struct {
+		response T
+		err      error
+	}
+	arrived := make(chan outcome, 1)
+	go func() {
+		delay, lost := w.travel()
+		if !sleeper.Sleep(w.ctx, delay) || lost {
+			return
+		}
+		response, err, answered := handle()
+		delay, lost = w.travel()
+		if answered && !lost && sleeper.Sleep(w.ctx, delay) {
+			arrived <- outcome{response, err}
+		}
+	}()
+	select {
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	case o := <-arrived:
+		return o.response, o.err
+	}
+}
+
+// SendReport implements attendant.Reporter.
+func (s *simReporter) SendReport(ctx context.Context, entry string, r messenger.Report) (messenger.ReportResponse, error) {
+	if ctx.Err() != nil {
+		return messenger.ReportResponse{}, ctx.Err()
+	}
+	sentAt := time.Now()
+	return deliver(ctx, s.world, func() (messenger.ReportResponse, error, bool) {
+		if time.Since(sentAt) > maxMessageDelay {
+			s.world.locked(func(w *simWorld) {
+				w.log("", "%s: report %d of %s, sent at %s, arrives late with the runs %+v", r.VM, r.Sequence, r.Generation, w.at(sentAt), r.Runs)
+			})
+		}
+		return s.world.handleReport(entry, r)
+	})
+}
+
+// handleReport passes a report to the entry and completes the response like package cli.
+func (w *simWorld) handleReport(entry string, r messenger.Report) (messenger.ReportResponse, error, bool) {
+	var o, owner *simOwner
+	w.locked(func(w *simWorld) { o, owner = w.entries[entry], w.owner })
+	if o == nil {
+		// The entry has never been the owner, but knows it.
+		return messenger.ReportResponse{Owner: owner.address, Epoch: owner.epoch, Entries: ownerAddresses}, nil, true
+	}
+	response := o.coordinator.Report(r)
+	if !o.isResigned() {
+		owner = o
+	}
+	response.Owner, response.Epoch, response.Entries = owner.address, owner.epoch, ownerAddresses
+	if response.Owner != entry {
+		response.Granted = false
+	}
+	return response, nil, true
+}
+
+// SendOrders implements coordinator.Agents.
+func (o *simOwner) SendOrders(ctx context.Context, vm string, orders messenger.Orders) (messenger.OrdersResponse, error) {
+	w := o.world
+	if ctx.Err() != nil {
+		return messenger.OrdersResponse{}, ctx.Err()
+	}
+	sentAt := time.Now()
+	w.locked(func(w *simWorld) {
+		for _, s := range orders.Starts {
+			w.log(s.Task, "owner of epoch %d orders %s to start run %d", o.epoch, vm, s.Number)
+		}
+		for _, s := range orders.Stops {
+			w.log(s.Task, "owner of epoch %d orders %s to stop run %d", o.epoch, vm, s.Number)
+		}
+	})
+	return deliver(ctx, w, func() (messenger.OrdersResponse, error, bool) {
+		var p *agentProcess
+		w.locked(func(w *simWorld) { p = w.agents[vm].process })
+		if p == nil {
+			return messenger.OrdersResponse{}, errNotReachable, true
+		}
+		callCtx, cancel := context.WithTimeout(p.ctx, orderHandlingTimeout)
+		defer cancel()
+		response := p.attendant.HandleOrders(callCtx, orders)
+		w.locked(func(w *simWorld) { w.logResponse(p, orders, response, sentAt) })
+		return response, nil, p.ctx.Err() == nil
+	})
+}
+
+// logResponse adds the response of an agent process to the history of the tasks that should start.
+func (w *simWorld) logResponse(p *agentProcess, orders messenger.Orders, response messenger.OrdersResponse, sentAt time.Time) {
+	if !response.Accepted {
+		for _, s := range orders.Starts {
+			w.log(s.Task, "%s rejects the orders of %s with the start of run %d: %s", p.generation, w.at(sentAt), s.Number, response.Reason)
+		}
+	}
+	for _, s := range response.Starts {
+		w.log(s.Task, "%s answers the orders of %s with the start of run %d: %s %s", p.generation, w.at(sentAt), s.Number, s.Outcome, s.Reason)
+	}
+}
--- /dev/null
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -0,0 +1,277 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/job"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/resource"
+)
+
+const (
+	// fixedSeeds is the number of seeds of each class of faults in every run of the tests. seedCountVariable names the environment variable
+	// with the number of further seeds of each class, seedVariable the one with a single seed that is played instead of all others.
+	fixedSeeds        = 12
+	seedCountVariable = "EXCLUSION_SEEDS"
+	seedVariable      = "EXCLUSION_SEED"
+	// maxPrintedSeeds is the number of failed seeds of a class whose history is printed.
+	maxPrintedSeeds = 2
+	longJob         = "long"
+	cancelledJob    = "cancelled"
+	longTasks       = 3
+	cancelledTasks  = 2
+	jobCount        = 14
+	minVMs          = 3
+	taskProcessors  = 1000
+	// faultTime is how long the faults of a world last, recoveryTime how long it goes on without faults.
+	faultTime    = 16 * time.Second
+	recoveryTime = 30 * time.Second
+	// watchPeriod is the time between two looks for a violation, which ends the world early.
+	watchPeriod = 100 * time.Millisecond
+	retryPause  = 100 * time.Millisecond
+	// The next constants limit the times between two faults of a kind, and how long an owner is unaware of its successor.
+	minKillPeriod     = 1500 * time.Millisecond
+	maxKillPeriod     = 5 * time.Second
+	minCrashPeriod    = 2 * time.Second
+	maxCrashPeriod    = 9 * time.Second
+	minTakeoverPeriod = 2500 * time.Millisecond
+	maxTakeoverPeriod = 6 * time.Second
+	maxUnawareTime    = 2 * time.Second
+)
+
+// Guards against a second run of a task while the first one still runs or after it has ended as done. Calls to the endpoints are carried out
+// seconds late or lose their answers, messages are delayed, and processes of all kinds are replaced meanwhile.
+func TestTaskNeverRunsTwice(t *testing.T) {
+	for name, faults := range map[string]simFaults{
+		"agent kills and late calls":       {agentKills: true, lateCalls: true},
+		"takeovers and late calls":         {takeovers: true, lateCalls: true},
+		"late messages and agent kills":    {lateMessages: true, agentKills: true},
+		"endpoint crashes and late calls":  {crashes: true, lateCalls: true},
+		"all kinds of faults at once":      {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
+		"late calls without other faults":  {lateCalls: true},
+		"no faults, which checks the test": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			seeds := exclusionSeeds(t)
+			failed := 0
+			for _, seed := range seeds {
+				var violation string
+				synctest.Test(t, func(*testing.T) { violation = playWorld(seed, faults) })
+				if violation == "" {
+					continue
+				}
+				if failed++; failed <= maxPrintedSeeds {
+					t.Errorf("%s=%d: %s", seedVariable, seed, violation)
+				}
+			}
+			if failed > 0 {
+				t.Errorf("%d of %d seeds failed", failed, len(seeds))
+			}
+		})
+	}
+}
+
+// exclusionSeeds returns the seeds to play.
+func exclusionSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	if text := os.Getenv(seedVariable); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []uint64{seed}
+	}
+	var seeds []uint64
+	for n := range uint64(fixedSeeds) {
+		seeds = append(seeds, n+1)
+	}
+	further, _ := strconv.Atoi(os.Getenv(seedCountVariable))
+	for range further {
+		seeds = append(seeds, rand.Uint64())
+	}
+	return seeds
+}
+
+// playWorld plays a world and returns its first violation, or "" if there is none.
+func playWorld(seed uint64, faults simFaults) string {
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	w := &simWorld{
+		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
+		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
+		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[int]struct{}{},
+	}
+	if faults.lateCalls {
+		w.startFaults, w.listFaults = callFaults{late: 0.12, lost: 0.06}, callFaults{late: 0.02, lost: 0.01}
+	}
+	w.takeOver(0)
+	for n := range minVMs + w.draw(2) {
+		vm := fmt.Sprint("vm", n)
+		w.vms = append(w.vms, vm)
+		e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
+		w.locked(func(w *simWorld) {
+			w.endpoints[vm], w.agents[vm] = e, a
+			w.startEndpoint(e, w.name(vm+"/endpoint"))
+			w.startAgent(a)
+		})
+		go w.sendHeartbeats(e)
+		w.injectFaults(e, a)
+	}
+	go w.takeOvers()
+	jobs := w.submitJobs()
+	for time.Since(w.startedAt) < faultTime+recoveryTime && !w.violated() {
+		w.sleep(watchPeriod)
+		if time.Since(w.startedAt) >= faultTime {
+			w.locked(func(w *simWorld) { w.calm = true })
+		}
+	}
+	if !w.violated() {
+		w.checkEnd(jobs)
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.violation
+}
+
+// injectFaults kills the agent and the endpoint of a VM from time to time.
+func (w *simWorld) injectFaults(e *simEndpoint, a *simAgent) {
+	if w.faults.agentKills {
+		go w.repeat(minKillPeriod, maxKillPeriod, func(w *simWorld) {
+			if a.process != nil {
+				w.killAgent(a.process)
+			}
+		})
+	}
+	if w.faults.crashes {
+		go w.repeat(minCrashPeriod, maxCrashPeriod, func(w *simWorld) { w.crashEndpoint(e) })
+	}
+}
+
+// repeat calls do with the mutex locked, again and again after periods between the two limits, until the faults end.
+func (w *simWorld) repeat(shortest, longest time.Duration, do func(w *simWorld)) {
+	for w.sleep(w.duration(shortest, longest)) {
+		calm := false
+		w.locked(func(w *simWorld) {
+			if calm = w.calm; !calm {
+				do(w)
+			}
+		})
+		if calm {
+			return
+		}
+	}
+}
+
+// takeOvers replaces the owner from time to time.
+func (w *simWorld) takeOvers() {
+	if !w.faults.takeovers {
+		return
+	}
+	for w.sleep(w.duration(minTakeoverPeriod, maxTakeoverPeriod)) && time.Since(w.startedAt) < faultTime {
+		w.takeOver(w.duration(0, maxUnawareTime))
+	}
+}
+
+// submitJobs submits the jobs at different times, and cancels one of them. It returns the jobs that should end by themselves.
+func (w *simWorld) submitJobs() []job.Job {
+	size := resource.Amount{MilliProcessors: taskProcessors, MemoryBytes: 1}
+	go func() {
+		w.submit(job.Job{ID: longJob, Occurrences: 1, Steps: []job.Step{{TaskCount: longTasks, Size: size, LongRunning: true}}})
+		w.submit(job.Job{ID: cancelledJob, Occurrences: 1, Steps: []job.Step{{TaskCount: cancelledTasks, Size: size, LongRunning: true}}})
+		w.sleep(w.duration(faultTime/2, faultTime))
+		w.request(func(o *simOwner) messenger.JobResponse {
+			return o.coordinator.Cancel(w.ctx, messenger.JobRequest{ID: cancelledJob, Queue: simQueue})
+		})
+	}()
+	var jobs []job.Job
+	for n := range jobCount {
+		j := job.Job{ID: fmt.Sprint("job", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 2 + w.draw(4), Size: size, Estimate: time.Second}}}
+		if n%3 == 0 {
+			j.Steps = append(j.Steps, job.Step{TaskCount: 2, Size: size, Estimate: time.Second, After: []int{0}})
+		}
+		jobs = append(jobs, j)
+		delay := w.duration(0, faultTime)
+		go func() {
+			w.sleep(delay)
+			w.submit(j)
+		}()
+	}
+	return jobs
+}
+
+// submit submits a job until an owner accepts it.
+func (w *simWorld) submit(j job.Job) {
+	w.request(func(o *simOwner) messenger.JobResponse {
+		return o.coordinator.Submit(w.ctx, messenger.JobRequest{Job: j, Queue: simQueue})
+	})
+}
+
+// request repeats a request to the present owner until it is executed.
+func (w *simWorld) request(send func(o *simOwner) messenger.JobResponse) {
+	for w.ctx.Err() == nil && send(w.presentOwner()).Outcome != messenger.OutcomeDone {
+		w.sleep(retryPause)
+	}
+}
+
+// checkEnd checks the states of the jobs and their runs after the recovery.
+func (w *simWorld) checkEnd(jobs []job.Job) {
+	o := w.presentOwner()
+	states := map[string]string{}
+	for _, j := range jobs {
+		states[j.ID] = o.coordinator.JobState(w.ctx, messenger.JobRequest{ID: j.ID, Queue: simQueue}).State
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	count := map[string]int{}
+	for _, e := range w.endpoints {
+		for task := range e.process.runs {
+			count[task]++
+		}
+	}
+	for n := range longTasks {
+		if task := (job.Task{Job: longJob, Index: n}).String(); count[task] != 1 {
+			w.violate(task, "%d runs at the end", count[task])
+		}
+	}
+	for n := range cancelledTasks {
+		if task := (job.Task{Job: cancelledJob, Index: n}).String(); count[task] != 0 {
+			w.violate(task, "%d runs of a cancelled job at the end", count[task])
+		}
+	}
+	for _, j := range jobs {
+		if states[j.ID] != bookkeeper.StateCompleted && !(states[j.ID] == bookkeeper.StateFailed && w.hasFailed(j)) {
+			w.violate(w.unfinishedTask(j), "the job is %q at the end", states[j.ID])
+		}
+	}
+}
+
+// hasFailed reports whether a task of the job has failed as often as permitted.
+func (w *simWorld) hasFailed(j job.Job) bool {
+	for task, numbers := range w.failures {
+		if id, _ := job.ParseTask(task); id.Job == j.ID && len(numbers) >= simAttempts {
+			return true
+		}
+	}
+	return false
+}
+
+// unfinishedTask returns the first task of the job of which no run has ended as done.
+func (w *simWorld) unfinishedTask(j job.Job) string {
+	for n, step := range j.Steps {
+		for k := range step.TaskCount {
+			if task := (job.Task{Job: j.ID, Step: n, Index: k}).String(); len(w.doneEnds[task]) == 0 {
+				return task
+			}
+		}
+	}
+	return j.ID
+}
