coordinator: short histories of violations in the randomized test

Cause: the histories of the draft listed every log entry of all processes on the VMs of a task. Change: the last 70 events, without the log entries that tell nothing about runs; -v prints the history of every failed seed.

--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -203,7 +203,7 @@
 
 // deliver sends a message and returns its response. handle is called where the message arrives, also after ctx has ended. It returns false if
 // there is no response.
-func deliver[T any](ctx context.Context, w *simWorld, handle func() (T, error, bool)) (T, error) {
+func deliver[T any](ctx context.Context, w *simWorld, handle func() (T, bool, error)) (T, error) {
 	type outcome struct {
 		response T
 		err      error
@@ -214,7 +214,7 @@
 		if !sleeper.Sleep(w.ctx, delay) || lost {
 			return
 		}
-		response, err, answered := handle()
+		response, answered, err := handle()
 		delay, lost = w.travel()
 		if answered && !lost && sleeper.Sleep(w.ctx, delay) {
 			arrived <- outcome{response, err}
@@ -235,7 +235,7 @@
 		return messenger.ReportResponse{}, ctx.Err()
 	}
 	sentAt := time.Now()
-	return deliver(ctx, s.world, func() (messenger.ReportResponse, error, bool) {
+	return deliver(ctx, s.world, func() (messenger.ReportResponse, bool, error) {
 		if time.Since(sentAt) > maxMessageDelay {
 			s.world.locked(func(w *simWorld) {
 				w.log("", "%s: report %d of %s, sent at %s, arrives late with the runs %+v", r.VM, r.Sequence, r.Generation, w.at(sentAt), r.Runs)
@@ -246,12 +246,12 @@
 }
 
 // handleReport passes a report to the entry and completes the response like package cli.
-func (w *simWorld) handleReport(entry string, r messenger.Report) (messenger.ReportResponse, error, bool) {
+func (w *simWorld) handleReport(entry string, r messenger.Report) (messenger.ReportResponse, bool, error) {
 	var o, owner *simOwner
 	w.locked(func(w *simWorld) { o, owner = w.entries[entry], w.owner })
 	if o == nil {
 		// The entry has never been the owner, but knows it.
-		return messenger.ReportResponse{Owner: owner.address, Epoch: owner.epoch, Entries: ownerAddresses}, nil, true
+		return messenger.ReportResponse{Owner: owner.address, Epoch: owner.epoch, Entries: ownerAddresses}, true, nil
 	}
 	response := o.coordinator.Report(r)
 	if !o.isResigned() {
@@ -261,7 +261,7 @@
 	if response.Owner != entry {
 		response.Granted = false
 	}
-	return response, nil, true
+	return response, true, nil
 }
 
 // SendOrders implements coordinator.Agents.
@@ -279,17 +279,17 @@
 			w.log(s.Task, "owner of epoch %d orders %s to stop run %d", o.epoch, vm, s.Number)
 		}
 	})
-	return deliver(ctx, w, func() (messenger.OrdersResponse, error, bool) {
+	return deliver(ctx, w, func() (messenger.OrdersResponse, bool, error) {
 		var p *agentProcess
 		w.locked(func(w *simWorld) { p = w.agents[vm].process })
 		if p == nil {
-			return messenger.OrdersResponse{}, errNotReachable, true
+			return messenger.OrdersResponse{}, true, errNotReachable
 		}
 		callCtx, cancel := context.WithTimeout(p.ctx, orderHandlingTimeout)
 		defer cancel()
 		response := p.attendant.HandleOrders(callCtx, orders)
 		w.locked(func(w *simWorld) { w.logResponse(p, orders, response, sentAt) })
-		return response, nil, p.ctx.Err() == nil
+		return response, p.ctx.Err() == nil, nil
 	})
 }
 
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -22,7 +22,7 @@
 	fixedSeeds        = 12
 	seedCountVariable = "EXCLUSION_SEEDS"
 	seedVariable      = "EXCLUSION_SEED"
-	// maxPrintedSeeds is the number of failed seeds of a class whose history is printed.
+	// maxPrintedSeeds is the number of failed seeds of a class whose history is printed. With -v all are.
 	maxPrintedSeeds = 2
 	longJob         = "long"
 	cancelledJob    = "cancelled"
@@ -56,6 +56,7 @@
 		"late messages and agent kills":    {lateMessages: true, agentKills: true},
 		"endpoint crashes and late calls":  {crashes: true, lateCalls: true},
 		"all kinds of faults at once":      {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
+		"takeovers and late messages":      {takeovers: true, lateMessages: true},
 		"late calls without other faults":  {lateCalls: true},
 		"no faults, which checks the test": {},
 	} {
@@ -69,7 +70,7 @@
 				if violation == "" {
 					continue
 				}
-				if failed++; failed <= maxPrintedSeeds {
+				if failed++; failed <= maxPrintedSeeds || testing.Verbose() {
 					t.Errorf("%s=%d: %s", seedVariable, seed, violation)
 				}
 			}
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -46,6 +48,17 @@
 	// lateMessageShare and lostMessageShare are the shares of the messages that are delayed by up to maxFaultyDelay or lost.
 	lateMessageShare = 0.04
 	lostMessageShare = 0.02
+	// maxHistoryLines is the number of lines in the history of a violation.
+	maxHistoryLines = 70
+)
+
+// quietMessages and quietFields are log entries and fields of them that the history leaves out.
+var (
+	quietMessages = []string{
+		"new state of VM reported", "endpoint state changed", "report to the owner failed", "list request to the endpoint failed",
+		"agent process begins to list runs", "endpoint has seen a higher fencing token", "new owner of the jobs observed",
+	}
+	quietFields = []string{"level", "message", "task", "serving", "filling", "reserved", "report-age", "waited", "life", "before", "agent-epoch", "after"}
 )
 
 type (
@@ -87,10 +100,12 @@
 		violation string
 	}
 
-	// simEvent is an event of a task or, if task is empty, of a process.
+	// simEvent is an event of a task or, if task is empty, of a process. If writer is not empty, text is a log entry of the process with that
+	// name, which names or runs on the VM vm.
 	simEvent struct {
-		at         time.Time
-		task, text string
+		at               time.Time
+		task, vm, writer string
+		text             string
 	}
 
 	// doneEnd is the end of a run that has ended as done. It is void if the owner could not learn of it: its process crashed or the leases
@@ -141,7 +156,7 @@
 		vm, _, _ = strings.Cut(vm, `"`)
 	}
 	if task != "" || vm != "" {
-		l.world.locked(func(w *simWorld) { w.log(task, "%s [%s] %s", vm, l.name, text) })
+		l.world.locked(func(w *simWorld) { w.events = append(w.events, simEvent{time.Now(), task, vm, l.name, text}) })
 	}
 	return len(line), nil
 }
@@ -194,7 +209,7 @@
 
 // log adds an event to the history. The caller holds the mutex.
 func (w *simWorld) log(task, format string, values ...any) {
-	w.events = append(w.events, simEvent{time.Now(), task, fmt.Sprintf(format, values...)})
+	w.events = append(w.events, simEvent{at: time.Now(), task: task, text: fmt.Sprintf(format, values...)})
 }
 
 func (w *simWorld) name(prefix string) string {
@@ -202,7 +217,7 @@
 	return fmt.Sprint(prefix, "-", w.names)
 }
 
-// history returns the events of the task and those of the processes on its VMs.
+// history returns the last events of the task and those of the processes on its VMs.
 func (w *simWorld) history(task string) string {
 	var vms []string
 	var first time.Time
@@ -219,15 +234,37 @@
 			}
 		}
 	}
-	var lines strings.Builder
+	var lines []string
 	for _, e := range w.events {
 		ofProcess := e.task == "" && !e.at.Before(first) &&
-			(strings.HasPrefix(e.text, "owner") || slices.ContainsFunc(vms, func(vm string) bool { return strings.HasPrefix(e.text, vm) }))
-		if e.task == task || ofProcess {
-			fmt.Fprintf(&lines, "  %s %s\n", w.at(e.at), e.text)
+			(strings.HasPrefix(e.text, "owner") || slices.ContainsFunc(vms, func(vm string) bool { return e.vm == vm || strings.HasPrefix(e.text, vm) }))
+		if text := e.String(); text != "" && (e.task == task || ofProcess) {
+			lines = append(lines, fmt.Sprintf("  %s %s", w.at(e.at), text))
+		}
+	}
+	return strings.Join(lines[max(0, len(lines)-maxHistoryLines):], "\n")
+}
+
+// String returns the event in one line. It is empty for log entries that tell little about the runs of a task.
+func (e simEvent) String() string {
+	if e.writer == "" {
+		return e.text
+	}
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(e.text), &fields); err != nil {
+		return e.writer + ": " + e.text
+	}
+	message := fmt.Sprint(fields["message"])
+	if slices.Contains(quietMessages, message) {
+		return ""
+	}
+	text := fmt.Sprintf("[%s] %s:", e.writer, message)
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		if !slices.Contains(quietFields, key) {
+			text += fmt.Sprintf(" %s=%v", key, fields[key])
 		}
 	}
-	return lines.String()
+	return text
 }
 
 // violate stores the first violation. The caller holds the mutex.
