coordinator: more agent kills in the randomized test

Change: higher shares of late calls and kills, a class with takeovers and agent kills, and process events from 2 s before a task's first event.

--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -38,8 +38,8 @@
 	watchPeriod = 100 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
 	// The next constants limit the times between two faults of a kind, and how long an owner is unaware of its successor.
-	minKillPeriod     = 1500 * time.Millisecond
-	maxKillPeriod     = 5 * time.Second
+	minKillPeriod     = time.Second
+	maxKillPeriod     = 4 * time.Second
 	minCrashPeriod    = 2 * time.Second
 	maxCrashPeriod    = 9 * time.Second
 	minTakeoverPeriod = 2500 * time.Millisecond
@@ -56,6 +56,7 @@
 		"late messages and agent kills":    {lateMessages: true, agentKills: true},
 		"endpoint crashes and late calls":  {crashes: true, lateCalls: true},
 		"all kinds of faults at once":      {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
+		"takeovers and agent kills":        {takeovers: true, agentKills: true},
 		"takeovers and late messages":      {takeovers: true, lateMessages: true},
 		"late calls without other faults":  {lateCalls: true},
 		"no faults, which checks the test": {},
@@ -112,7 +113,7 @@
 		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[int]struct{}{},
 	}
 	if faults.lateCalls {
-		w.startFaults, w.listFaults = callFaults{late: 0.12, lost: 0.06}, callFaults{late: 0.02, lost: 0.01}
+		w.startFaults, w.listFaults = callFaults{late: 0.18, lost: 0.08}, callFaults{late: 0.02, lost: 0.01}
 	}
 	w.takeOver(0)
 	for n := range minVMs + w.draw(2) {
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -42,7 +42,7 @@
 	maxEndpointPause = 1500 * time.Millisecond
 	heartbeatPeriod  = time.Second
 	// killAfterCallShare is the share of the calls without an answer after which the agent process is killed within maxKillDelay.
-	killAfterCallShare = 0.35
+	killAfterCallShare = 0.5
 	maxKillDelay       = 800 * time.Millisecond
 	sameIDShare        = 0.6
 	// lateMessageShare and lostMessageShare are the shares of the messages that are delayed by up to maxFaultyDelay or lost.
@@ -50,6 +50,8 @@
 	lostMessageShare = 0.02
 	// maxHistoryLines is the number of lines in the history of a violation.
 	maxHistoryLines = 70
+	// historyLead is the time before the first event of a task from which the history contains the events of the processes on its VMs.
+	historyLead = 2 * time.Second
 )
 
 // quietMessages and quietFields are log entries and fields of them that the history leaves out.
@@ -236,7 +238,7 @@
 	}
 	var lines []string
 	for _, e := range w.events {
-		ofProcess := e.task == "" && !e.at.Before(first) &&
+		ofProcess := e.task == "" && !e.at.Before(first.Add(-historyLead)) &&
 			(strings.HasPrefix(e.text, "owner") || slices.ContainsFunc(vms, func(vm string) bool { return e.vm == vm || strings.HasPrefix(e.text, vm) }))
 		if text := e.String(); text != "" && (e.task == task || ofProcess) {
 			lines = append(lines, fmt.Sprintf("  %s %s", w.at(e.at), text))
