coordinator: separate endpoint processes with new IDs and with the same ID in the randomized test

Cause: a call that was sent to a process that has crashed may be executed by a process with the same ID before anybody has contacted that one. With new IDs this cannot happen, but runs still existed twice. Change: two classes instead of one; the history says whether a later call had reached the process before.

--- a/internal/batch/coordinator/exclusion_endpoint_test.go
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -54,6 +54,9 @@
 		lastSequence int64
 		// resultAdded is closed and replaced when a run ends.
 		resultAdded chan struct{}
+		// contacted reports whether a call that was sent after the start of the process has reached it. Before that, nobody could have
+		// prevented that the process executes a call that was meant for an earlier process with the same ID.
+		contacted bool
 		// heartbeats is the number of heartbeats sent.
 		heartbeats int64
 	}
@@ -267,6 +270,7 @@
 			err, late, lost = attendant.ErrNotListening, false, false
 		case !late:
 			err = execute(c.endpoint.process, "at once")
+			c.endpoint.process.contacted = true
 		}
 		if late || lost {
 			w.log(task, "%s: a call of %s gets no answer; executed later: %t", c.endpoint.vm, c.agent.generation, late)
@@ -293,9 +297,15 @@
 	sentAt := time.Now()
 	delay := w.duration(minLateDelay, w.pick(shortLateDelay, maxLateDelay))
 	w.later(delay, func(w *simWorld) {
-		if c.endpoint.process != nil {
-			_ = execute(c.endpoint.process, fmt.Sprintf("sent at %s by %s", w.at(sentAt), c.agent.generation))
+		p := c.endpoint.process
+		if p == nil {
+			return
 		}
+		origin := fmt.Sprintf("sent at %s by %s", w.at(sentAt), c.agent.generation)
+		if !p.contacted && sentAt.Before(p.bornAt) {
+			origin += " to an earlier process; no later call has reached this one"
+		}
+		_ = execute(p, origin)
 	})
 }
 
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -64,9 +64,9 @@
 )
 
 type (
-	// simFaults says which faults a world has.
+	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID.
 	simFaults struct {
-		agentKills, lateCalls, takeovers, lateMessages, crashes bool
+		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -371,7 +371,7 @@
 	}
 	w.leaseExpired(p)
 	id := p.id
-	if !w.chance(sameIDShare) {
+	if !w.faults.sameIDs || !w.chance(sameIDShare) {
 		id = w.name(e.vm + "/endpoint")
 	}
 	w.later(w.duration(minEndpointPause, maxEndpointPause), func(w *simWorld) { w.startEndpoint(e, id) })
