supervisor: a restarted agent waits for late start calls of its predecessor

What callers see: a task runs twice after an eviction, or a VM runs tasks of more than its capacity, if an agent is killed while a start call to the worker is unanswered and the worker carries the call out after the new agent has listed its tasks.

Cause: only the process that made an unanswered start call knew that the call may still take effect (phaseUncertain, absenceDelay). Its successor took the first list of the worker's tasks for complete: it accepted a stop of an attempt that was not listed ("stopped", unknown-attempt), which the owner records as the end of the attempt, it gave the resources of the attempt to others, and it stopped the attempt as unknown when a later list showed it.

Why the fix works: a call of the previous process ended at the latest when that process did, which is before the first call of the new Supervisor. A list that is requested maxCallDelay later shows its effect, by the same bound that a process applies to its own calls. Until then stops of unknown attempts and starts get not-ready, which the owner repeats, and listed tasks are adopted. Known attempts are reported, renewed and stopped as before. Cost: a restarted agent starts no task for 2 s.

Tests: the set-up of the supervisor tests now waits these 2 s, and the test of the adoption expects not-ready before them and processors-exhausted after them. The simulated workers of internal/owner now carry out some starts late in the random tests.

--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -61,9 +61,12 @@
 	peersDisconnected bool
 	holdDelayedCalls  bool
 	nextFaults        map[string]string
-	onFault           func()
-	vmCapacity        resource.Amount
-	taskDuration      time.Duration
+	// workerDelay is how late a worker carries out a start that it does not answer. In nextFaults, such a start is a
+	// late call of the method "worker-start".
+	workerDelay  time.Duration
+	onFault      func()
+	vmCapacity   resource.Amount
+	taskDuration time.Duration
 	// configuration is the configuration of all entries. usageFactor is the ratio of the processors that tasks use to
 	// those that their job declares. retries is Owner.DefaultRetries in all entries. Tasks of the kind failingKind fail
 	// immediately. latency returns the latency that a VM reports for the service "preview"; if it is nil, the VMs
@@ -108,6 +111,8 @@
 	pausedUntil       time.Time
 	downUntil         time.Time
 	tasks             map[string]*workerTask
+	// lateStarts holds the starts that the worker has received but not carried out yet.
+	lateStarts []lateStart
 	// failsTasks makes all tasks that are started on the VM fail immediately. startedTaskCount is the number of tasks
 	// that were started on the VM so far.
 	failsTasks       bool
@@ -127,7 +132,8 @@
 func newRegion(seed uint64, entries, vms int) *region {
 	r := &region{
 		nextFaults: map[string]string{}, random: rand.New(rand.NewPCG(seed, 1)), now: start, taskDuration: 5 * time.Second, retries: 2, usageFactor: 1,
-		vmCapacity: resource.Amount{MilliProcessors: 1000, MemoryBytes: 100, Accelerators: 1},
+		workerDelay: maxWorkerDelay,
+		vmCapacity:  resource.Amount{MilliProcessors: 1000, MemoryBytes: 100, Accelerators: 1},
 	}
 	for i := range vms {
 		v := &vm{r: r, name: fmt.Sprintf("vm-%d", i), clock: clock{r, 1 + (r.random.Float64()-0.5)/110}}
--- a/internal/owner/region_test.go
+++ b/internal/owner/region_test.go
@@ -37,6 +37,7 @@
 		e.owner.Tick(ctx)
 	}
 	for _, v := range r.vms {
+		v.applyLateStarts()
 		v.updateTasks()
 		if v.up() {
 			v.supervisor.Tick(ctx)
@@ -123,7 +124,7 @@
 		v.pausedUntil = until
 	case 6:
 		// The VM is switched off for the duration and loses its tasks.
-		v.tasks = nil
+		v.tasks, v.lateStarts = nil, nil
 		v.startAgent()
 		v.downUntil = until
 	case 7:
@@ -184,6 +185,16 @@
 	return owner, runningOn
 }
 
+// vmWithLateStart returns the first VM whose worker has received a start that it has not carried out yet, or nil.
+func (r *region) vmWithLateStart() *vm {
+	for _, v := range r.vms {
+		if len(v.lateStarts) > 0 {
+			return v
+		}
+	}
+	return nil
+}
+
 // clearFaults ends all faults. Entries that were drained get a new process.
 func (r *region) clearFaults() {
 	r.randomFaults, r.logDown, r.peersDisconnected = false, false, false
--- a/internal/owner/scenario_test.go
+++ b/internal/owner/scenario_test.go
@@ -140,6 +140,53 @@
 		})
 	}
 
+	// Guards against a restarted agent that declares an attempt stopped although the start call of its predecessor may
+	// still take effect at the worker. The evicted task would then run twice.
+	It("does not run a task twice if the worker carries out its start late, and the agent is restarted and the task evicted in the meantime", func() {
+		for delaySteps := range 6 {
+			r := newRegion(1, 1, 3)
+			r.taskDuration, r.workerDelay = hour, 2*time.Second
+			r.run(ctx, 5*time.Second)
+			r.nextFaults["worker-start"] = "late"
+			r.entries[0].owner.Submit(ctx, job("a", 1))
+			var v *vm
+			for range 40 {
+				r.step(ctx)
+				if v = r.vmWithLateStart(); v != nil {
+					break
+				}
+			}
+			Expect(v).NotTo(BeNil())
+			v.startAgent()
+			r.run(ctx, time.Duration(delaySteps)*stepDuration)
+			Expect(r.entries[0].owner.Evict("a", 0)).To(BeTrue())
+			r.run(ctx, 20*time.Second)
+			Expect(r.violations).To(BeEmpty(), "evicted after %d steps", delaySteps)
+			_, runningOn := r.ownerOf("a")
+			Expect(runningOn).To(HaveLen(1))
+		}
+	})
+
+	// Guards against a restarted agent that gives away the resources of an attempt whose start call by its predecessor
+	// may still take effect at the worker.
+	It("does not overcommit a VM if the worker carries out a start late and the agent is restarted in the meantime", func() {
+		r := newRegion(1, 1, 1)
+		r.taskDuration = 20 * time.Second
+		r.run(ctx, 5*time.Second)
+		request := job("a", 2)
+		request.Size = r.vmCapacity
+		r.nextFaults["worker-start"] = "late"
+		r.entries[0].owner.Submit(ctx, request)
+		for r.vmWithLateStart() == nil {
+			r.step(ctx)
+		}
+		r.vms[0].startAgent()
+		r.run(ctx, 3*time.Minute)
+		Expect(r.violations).To(BeEmpty())
+		_, completions := r.replayLog()
+		Expect(completions).To(Equal(map[string]int{"a/0": 1, "a/1": 1}))
+	})
+
 	// Guards against a task that is lost, or that runs again after its completion, when its owner crashes at any step
 	// of a start, checkpoint or completion.
 	It("completes each task once although its owner crashes at any step of start, checkpoint and completion", func() {
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -104,7 +104,8 @@
 // lockForCommand validates a command for an attempt. If the attempt runs or may run, it returns the attempt
 // with callMutex locked. Otherwise, it returns nil and the response to the command. isStop is true for a stop
 // command, which is accepted for an unknown or finished attempt too. A stop command for an unknown attempt has
-// the effect that later starts of the attempt are rejected.
+// the effect that later starts of the attempt are rejected. It is not accepted while the attempt may still start because
+// of a call of the previous run of the agent process.
 func (s *Supervisor) lockForCommand(command message.TaskCommand, isStop bool) (*attempt, message.TaskCommandResponse) {
 	reject := func(reason string) (*attempt, message.TaskCommandResponse) {
 		return nil, message.TaskCommandResponse{Reason: reason}
@@ -113,7 +114,7 @@
 	s.initialize()
 	identity := command.Identity
 	a, known := s.attempts[identity.ID()]
-	sameGeneration, ready, epochIsCurrent := command.Generation == s.Generation, s.Admitter.Ready(), false
+	sameGeneration, ready, epochIsCurrent := command.Generation == s.Generation, s.Admitter.Ready() && (known || s.settled), false
 	if sameGeneration {
 		epochIsCurrent = s.lessee.Fence(identity.Shard, identity.Epoch)
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -30,6 +30,9 @@
 	// minLeaseExtension is by how much a renewed lease must end later than the lease that was last passed on to
 	// the worker. Otherwise the renewal is not passed on, which saves a call.
 	minLeaseExtension = 2 * time.Second
+	// maxCallDelay is how long after the end of an unconfirmed call to the worker the call may still take effect. The
+	// end is the time at which the call timed out, or at which the agent process that made it ended.
+	maxCallDelay = 2 * callTimeout
 	// listInterval is the interval at which the agent requests the list of the worker's tasks.
 	listInterval = time.Second
 	// adoptedLease is how long an attempt that was found on the worker after a restart of the agent may run
@@ -81,6 +84,14 @@
 		stoppedAt map[string]time.Time
 		// heartbeatTimes maps the sequence numbers of heartbeats to the times at which they were sent.
 		heartbeatTimes map[uint64]time.Time
+		// beganAt is when the first method of this Supervisor was called. The previous run of the agent process had
+		// ended by then.
+		beganAt time.Time
+		// settled is true once the agent has received a list of the worker's tasks that was requested at least
+		// maxCallDelay after beganAt. All start calls of the previous run of the agent process have then taken effect
+		// or never will. Before that, an attempt that is not listed may still start, so no stop of an unknown attempt
+		// is accepted, and there may be less free capacity than the list shows, so no attempt is started.
+		settled bool
 		// listRequestedAt is when the newest list of the worker's tasks that the agent has received was
 		// requested.
 		listRequestedAt time.Time
@@ -193,6 +204,9 @@
 	if !ok {
 		return reject(string(lessee.Expired))
 	}
+	if !s.settled {
+		return reject(message.ReasonNotReady)
+	}
 	if v := s.Admitter.Commit(identity.ID(), start.Size); !v.Accepted() {
 		return reject(string(v))
 	}
@@ -218,9 +232,13 @@
 	return reports
 }
 
-// Ready reports whether the worker has returned a list of its tasks. Before that, Reports leaves out attempts
-// that an earlier run of the agent process has started.
-func (s *Supervisor) Ready() bool { return s.Admitter.Ready() }
+// Ready reports whether Reports contains all attempts that the previous run of the agent process has started. Before
+// that, no attempts are started.
+func (s *Supervisor) Ready() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.settled
+}
 
 // currentReport returns the report of the attempt as it is sent to entries. The caller must hold
 // Supervisor.mutex.
@@ -233,12 +251,12 @@
 	return r
 }
 
-// initialize creates the maps of the Supervisor and sets the expiry margin of its leases, unless an earlier
-// call did so. The caller must hold Supervisor.mutex.
+// initialize creates the maps of the Supervisor, and sets the expiry margin of its leases and beganAt, unless an
+// earlier call did so. The caller must hold Supervisor.mutex.
 func (s *Supervisor) initialize() {
 	if s.attempts == nil {
 		s.attempts, s.stoppedAt, s.heartbeatTimes = map[string]*attempt{}, map[string]time.Time{}, map[uint64]time.Time{}
-		s.lessee.ExpiryMargin = stopMargin
+		s.lessee.ExpiryMargin, s.beganAt = stopMargin, s.Clock.Now()
 	}
 }
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -59,6 +59,8 @@
 		w = newFakeWorker(clock)
 		restartAgent()
 		s.Tick(ctx)
+		// A new agent starts no attempts until the calls of its predecessor can no longer take effect.
+		tick(2 * time.Second)
 		s.RecordHeartbeat(1, clock.Now())
 	})
 
@@ -214,6 +216,9 @@
 		s.RecordHeartbeat(1, clock.Now())
 		Expect(s.Stop(ctx, command(1)).Reason).To(Equal("not-ready"))
 		s.Tick(ctx)
+		Expect(s.Start(ctx, startRequest(2)).Reason).To(Equal("not-ready"))
+		Expect(s.Admitter.Committed().MilliProcessors).To(Equal(int64(600)))
+		tick(2 * time.Second)
 		Expect(s.Start(ctx, startRequest(2)).Reason).To(Equal("processors-exhausted"))
 		reports := s.Reports()
 		Expect(reports).To(HaveLen(2))
@@ -225,6 +230,31 @@
 		Expect(w.runningCount()).To(Equal(0))
 	})
 
+	for name, ended := range map[string]bool{"runs": false, "has ended": true} {
+		// Guards against an agent that declares an attempt stopped, or gives its capacity away, while the start call of
+		// the agent's previous process may still take effect. The task would run twice, or the VM would be overcommitted.
+		It("adds an attempt that a late start call of the previous agent process has started and that "+name, func() {
+			w.faults["start"] = "lost"
+			s.Start(ctx, startRequest(1))
+			delete(w.faults, "start")
+			restartAgent()
+			s.RecordHeartbeat(1, clock.Now())
+			s.Tick(ctx)
+			Expect(s.Stop(ctx, command(1))).To(Equal(message.TaskCommandResponse{Reason: "not-ready"}))
+			Expect(s.Start(ctx, startRequest(2))).To(Equal(message.StartResponse{Reason: "not-ready"}))
+			clock.Advance(900 * time.Millisecond)
+			Expect(w.Start(ctx, message.WorkerStart{ID: identity(1).ID(), Size: startRequest(1).Size, Lease: 6 * time.Second})).To(Succeed())
+			if ended {
+				w.tasks[identity(1).ID()].State = "done"
+			}
+			tick(3 * time.Second)
+			Expect(w.calls["stop"]).To(BeZero())
+			Expect(onlyReport().State).To(Equal(map[bool]string{false: "running", true: "done"}[ended]))
+			Expect(s.Start(ctx, startRequest(2)).Started).To(Equal(ended))
+			Expect(s.Stop(ctx, command(1)).Accepted).To(BeTrue())
+		})
+	}
+
 	// Guards against attempts that are stopped without a checkpoint, and against stop calls for attempts that have
 	// already ended.
 	It("checkpoints and stops all attempts when draining, and does not stop them again after they have ended", func() {
--- a/internal/supervisor/tick.go
+++ b/internal/supervisor/tick.go
@@ -109,9 +109,9 @@
 	}
 }
 
-// listWorkerTasks requests the list of the worker's tasks and updates the attempts from it. From the first
-// list, it adds attempts for the tasks that an earlier run of the agent process has started. It stops tasks of
-// later lists that belong to no known attempt.
+// listWorkerTasks requests the list of the worker's tasks and updates the attempts from it. Until the Supervisor is
+// settled, it adds attempts for the listed tasks, because an earlier run of the agent process has started them. It
+// stops tasks of later lists that belong to no known attempt.
 func (s *Supervisor) listWorkerTasks(ctx context.Context) {
 	requestedAt := s.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -122,8 +122,9 @@
 	}
 	s.mutex.Lock()
 	s.listRequestedAt = requestedAt
-	if !s.Admitter.Ready() {
+	if !s.settled {
 		s.adoptTasks(list)
+		s.settled = requestedAt.Sub(s.beganAt) >= maxCallDelay
 	}
 	var unleased []*attempt
 	tasksByID := map[string]message.WorkerTask{}
@@ -147,14 +148,20 @@
 	}
 }
 
-// adoptTasks adds an attempt for each task with a valid attempt ID in the first list of the worker's tasks that
-// this run of the agent receives. All running tasks get
-// committed capacity, and those with an attempt get a lease of adoptedLease.
+// adoptTasks adds an attempt for each task with a valid attempt ID in the list of the worker's tasks, unless the
+// attempt is already known or has been removed. Added tasks that run get committed capacity and a lease of adoptedLease.
+// From the first list, running tasks without a valid attempt ID get committed capacity too.
 func (s *Supervisor) adoptTasks(list message.WorkerTasks) {
 	runningSizes := map[string]resource.Amount{}
+	first := !s.Admitter.Ready()
 	for _, t := range list.Tasks {
 		identity, ok := parseAttemptID(t.ID)
-		if t.State == stateRunning {
+		_, known := s.attempts[t.ID]
+		_, removed := s.stoppedAt[t.ID]
+		if known || removed {
+			continue
+		}
+		if t.State == stateRunning && (ok || first) {
 			runningSizes[t.ID] = t.Size
 		}
 		if !ok {
@@ -203,7 +210,7 @@
 // because an unconfirmed start may still take effect.
 func (*Supervisor) absenceDelay(a *attempt) time.Duration {
 	if a.phase == phaseUncertain {
-		return 2 * callTimeout
+		return maxCallDelay
 	}
 	return time.Nanosecond
 }
