owner: ignore late heartbeats of an earlier agent process

What callers see: if a heartbeat of an agent's previous process is processed during a log outage after one of its successor, all tasks on the VM lapse within a minute, although the outage should not affect them. At any time, starts and stops are addressed to the process that has ended until the next heartbeat arrives.

Cause: updateVM compared sequence numbers only within a generation, so each change of the generation counted as a restart. The lessor then took the next heartbeat of the current process for its first one, and grants no outage leases to an agent that seems to have been started after the last log contact (decision generation-unknown-to-log-contact). The entry ignores the verdict of the failure detector, which knows the order.

Evidence, without the fix: "keeps a task running while the log is down if a heartbeat of the previous agent process arrives late" fails because no VM runs the task two minutes later; "accepts heartbeats of an apparently older agent process once the VM has been silent for long" fails because the older process counts at once. No second run was seen: leases that are granted in response to a late heartbeat reach no process, and ends in it are final.

Why the fix works: generations begin with the time of their start, so the owner orders them as the failure detector does. An older one counts only after 10 s without an accepted heartbeat, for VMs whose clock was set back. Until then such a VM gets no leases from this entry, so its tasks may lapse.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -94,7 +94,7 @@
 	}
 	lastRecord, ok := d.records[b.VM]
 	if ok {
-		order := compareGenerations(b.Generation, lastRecord.heartbeat.Generation)
+		order := CompareGenerations(b.Generation, lastRecord.heartbeat.Generation)
 		if order == 0 && b.Sequence <= lastRecord.heartbeat.Sequence {
 			return false
 		}
@@ -203,9 +203,9 @@
 	return d.Clock.Now()
 }
 
-// compareGenerations returns a negative number if a is the earlier generation, a positive one if b is, and 0 if they
+// CompareGenerations returns a negative number if a is the earlier generation, a positive one if b is, and 0 if they
 // are equal.
-func compareGenerations(a, b string) int {
+func CompareGenerations(a, b string) int {
 	if len(a) != len(b) {
 		return len(a) - len(b)
 	}
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"bamboohook/detector"
 	"bamboohook/internal/message"
 	"bamboohook/lessor"
 	"bamboohook/resource"
@@ -79,8 +80,13 @@
 	return granting && o.lessor.HasLogContact(now)
 }
 
+// olderGenerationTimeout is how long a VM must have sent no accepted heartbeat before heartbeats of an agent process that
+// seems to be older than the known one are accepted. The clock of the VM may have been set back before the agent was
+// restarted. The failure detector of the entries accepts them after the same time by default.
+const olderGenerationTimeout = 10 * time.Second
+
 // updateVM updates what is known about the VM from its heartbeat. It returns false if this heartbeat or a later one
-// was already processed.
+// was already processed, or if the heartbeat is one of an earlier agent process that arrives late.
 func (o *Owner) updateVM(hb message.Heartbeat, now time.Time) (*VM, bool) {
 	v, ok := o.vms[hb.VM]
 	if !ok {
@@ -91,7 +97,8 @@
 		copy(o.vmsByName[index+1:], o.vmsByName[index:])
 		o.vmsByName[index] = v
 	}
-	if v.Generation == hb.Generation && hb.Sequence <= v.heartbeatSequence {
+	order := detector.CompareGenerations(hb.Generation, v.Generation)
+	if order == 0 && hb.Sequence <= v.heartbeatSequence || order < 0 && now.Sub(v.lastHeartbeatAt) < olderGenerationTimeout {
 		return v, false
 	}
 	o.lessor.RecordGeneration(hb.VM, hb.Generation, now)
--- a/internal/owner/scenario_test.go
+++ b/internal/owner/scenario_test.go
@@ -284,6 +284,38 @@
 		Expect(completions).To(HaveLen(30))
 	})
 
+	// Guards against a heartbeat of an earlier agent process that arrives after one of its successor. If it counted, the
+	// successor would seem to have been started during the log outage. It would then get no leases until the log is back.
+	It("keeps a task running while the log is down if a heartbeat of the previous agent process arrives late", func() {
+		r, e, v := startOneTask(hour)
+		late := message.Heartbeat{VM: v.name, Generation: v.supervisor.Generation, Sequence: 1 << 20, State: message.StateUp, Capacity: r.vmCapacity}
+		v.startAgent()
+		r.run(ctx, 10*time.Second)
+		r.logDown = true
+		r.run(ctx, 30*time.Second)
+		Expect(e.owner.HandleHeartbeat(ctx, late)).To(BeZero())
+		r.run(ctx, 2*time.Minute)
+		_, runningOn := r.ownerOf("a")
+		Expect(runningOn).To(HaveLen(1))
+		Expect(runningOn[0]).To(BeIdenticalTo(v))
+	})
+
+	// Guards against a VM that gets no tasks any more because its clock was set back before its agent was restarted, so
+	// that the generation of the new process seems to be the older one.
+	It("accepts heartbeats of an apparently older agent process once the VM has been silent for long", func() {
+		r := newRegion(1, 1, 1)
+		r.vms[0].agentCount = 7
+		r.vms[0].startAgent()
+		r.run(ctx, 5*time.Second)
+		r.vms[0].agentCount = 2
+		r.vms[0].startAgent()
+		r.entries[0].owner.Submit(ctx, job("a", 1))
+		r.run(ctx, 9*time.Second)
+		Expect(r.vms[0].startedTaskCount).To(BeZero())
+		r.run(ctx, 9*time.Second)
+		Expect(r.vms[0].startedTaskCount).To(Equal(1))
+	})
+
 	// Guards against a caller that submits a job twice or gives it up, because the response does not tell whether the
 	// job was accepted. Also guards against a snapshot without the job.
 	It("reports whether a job was accepted, recognizes its id, throttles its task, and restores it from a snapshot", func() {
