owner: two known failures after an unanswered call

Both tests fail; KNOWN-RED.txt lists them, and test.sh passes over exactly these two and prints that.

Repeated submission: a caller whose first submission had no answer repeats it with the same id and gets not-run, "nothing was recorded", while the first copy is appended later and the job runs. Owner.append derives the outcome from this copy alone. Design: with an id that the caller has set, not-run is certain only if no other copy can exist, as newFailure of the forwarder assumes for requests with a key. So such a failure becomes unknown, or carries an explicit statement that it speaks of this copy only. This also holds for repeats through another entry, for Cancel, and contradicts the case of an accepted answer in the test "reports whether a job was accepted ...", whose expectation must be decided first.

Late result of an earlier run: a VM is cut off, run 1 ends as done within its lease, run 2 starts after it. When the VM is back, the owner tells its agent to forget the result, and run 2 executes the task again in full. No two runs exist at a time and one completion is recorded. Design: a Result done that names an earlier attempt completes a task that waits or runs; the owner then stops the later attempt and an end of it has no effect. All entries must have the new version before one appends such a record, because older ones would ignore it and their replayed states would differ.

--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs all tests except the known failures, which the pattern of -ginkgo.skip below matches and KNOWN-RED.txt describes. The
+# Runs all tests except the known failures, which the patterns of -ginkgo.skip below match and KNOWN-RED.txt describes. The
 # arguments of this script are passed to go test. The environment variable PACKAGES selects the packages to test. With
 # RANDOM_SEEDS=yes, the randomized tests of internal/owner use new seeds; otherwise they use fixed seeds, so that each run has the
 # same result.
@@ -16,10 +16,12 @@
   go test -count=1 -timeout 8m "$@" ./tests/batch -ginkgo.skip='(owner and agent lost|owner paused)$' || failed=1
 fi
 if echo "$packages" | grep -qx bamboohook/internal/owner; then
+  known_red='(first copy takes effect later|late result of an earlier run and stops the later run)$'
+  echo "internal/owner: passed over as in KNOWN-RED.txt: $known_red"
   if [ "${RANDOM_SEEDS:-no}" = yes ]; then
-    go test -count=1 -timeout 8m "$@" ./internal/owner || failed=1
+    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.skip="$known_red" || failed=1
   else
-    go test -count=1 -timeout 8m "$@" ./internal/owner -rapid.seed=31 || failed=1
+    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.skip="$known_red" -rapid.seed=31 || failed=1
     # Guards against a task that stays in the running state forever. With this seed, the worker refuses to stop a task while it is
     # still unknown whether the start of the task, which got no response, has taken effect. Each refusal postponed that decision.
     go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.focus='random faults$' -rapid.seed=1018500398272266554 || failed=1
