coordinator: a randomized entry with all faults but rebirths under the same ID

The entry with all faults mixes causes: a process that is reborn under its ID knows no fencing token, so that a call which was sent to its predecessor can take effect before any other call has reached it. The new entry has all other faults.

--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -57,6 +57,7 @@
 		"endpoint crashes and late calls":  {crashes: true, lateCalls: true},
 		"rebirths with IDs and late calls": {crashes: true, sameIDs: true, lateCalls: true},
 		"all kinds of faults at once":      {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true, sameIDs: true},
+		"all kinds of faults with new IDs": {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
 		"takeovers and agent kills":        {takeovers: true, agentKills: true},
 		"takeovers and late messages":      {takeovers: true, lateMessages: true},
 		"late calls without other faults":  {lateCalls: true},
