attendant: calls meant for one endpoint process do not reach another

Callers could see a task run twice around a crash of an endpoint process. - A start was repeated at the new process as soon as that had sent a heartbeat, or without naming any process, although it was ordered for the former one. - The first list request to a new process told it which results of the former one were recorded. The new process then discarded results of its own with the same numbers, which nobody had recorded, and their tasks ran again. Change: starts go only to the process for which they were ordered, and recorded results are named only to the process that has listed them.

--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -285,6 +285,53 @@
 		Expect(e.executeDelayedStarts()).To(BeZero())
 	})
 
+	// Guards against a new endpoint process that discards results, because it is told which results of its predecessor are recorded.
+	It("reports the results of a new endpoint process that have the numbers of recorded ones", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		e.mutex.Lock()
+		e.finish(task, messenger.RunDone)
+		e.mutex.Unlock()
+		Eventually(func() []messenger.RunResult { return o.report().Results }).Should(HaveLen(1))
+		o.mutex.Lock()
+		o.recordedSequence = 1
+		o.mutex.Unlock()
+		Eventually(func() []messenger.RunResult { return o.report().Results }).Should(BeEmpty())
+		o.mutex.Lock()
+		o.recordedSequence = 0
+		o.mutex.Unlock()
+		e.mutex.Lock()
+		e.notListening = true
+		e.mutex.Unlock()
+		Eventually(func() string { return o.report().State }).WithTimeout(3 * time.Second).Should(Equal(messenger.VMNotListening))
+		e.mutex.Lock()
+		e.incarnation += 50
+		e.notListening, e.highestFencingToken = false, 0
+		e.results = []messenger.RunResult{{Sequence: 1, Task: "b.0.0.0", Number: 1, Outcome: messenger.RunDone}}
+		incarnation := e.incarnation
+		e.mutex.Unlock()
+		a.HandleHeartbeat(attendant.Heartbeat{EndpointID: "e2", Incarnation: incarnation, Sequence: 1, Service: "s"})
+		Eventually(func() []messenger.RunResult { return o.report().Results }).WithTimeout(2 * time.Second).Should(HaveLen(1))
+	})
+
+	// Guards against a start that is repeated at another endpoint process than the one for which it was ordered.
+	It("does not repeat a start after a heartbeat of another endpoint process", func() {
+		e.mutex.Lock()
+		release := make(chan struct{})
+		e.startRelease, e.startsToDelay = release, 1
+		incarnation := e.incarnation + 50
+		e.mutex.Unlock()
+		outcome := make(chan string, 1)
+		m := orders(start(task, 1))
+		go func() { outcome <- a.HandleOrders(ctx, m).Starts[0].Outcome }()
+		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.startBlocked }).Should(BeTrue())
+		a.HandleHeartbeat(attendant.Heartbeat{EndpointID: "e2", Incarnation: incarnation, Sequence: 1, Service: "s"})
+		close(release)
+		Eventually(outcome).WithTimeout(3 * time.Second).Should(Receive(Not(Equal(messenger.StartDone))))
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		Expect(e.started).To(BeEmpty())
+	})
+
 	It("reports no runs after the endpoint process was replaced", func() {
 		a.HandleOrders(ctx, orders(start(task, 1)))
 		e.replace()
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -169,7 +169,7 @@
 		return nil, messenger.StartRefused, ReasonStopped
 	}
 	// Without a heartbeat of the current endpoint process its capacity is unknown. The reason is then the same as for a draining endpoint.
-	if a.heartbeat.Draining || a.deregistered || a.heartbeat.Incarnation != a.incarnation {
+	if a.heartbeat.Draining || a.deregistered || a.heartbeat.Incarnation != a.incarnation || a.heartbeat.EndpointID == "" {
 		return nil, messenger.StartRefused, ReasonDraining
 	}
 	freeCapacity := a.heartbeat.Capacity
@@ -204,7 +204,7 @@
 // leases, and ErrOtherIncarnation if the endpoint process for which the run was ordered has been replaced.
 func (a *Attendant) sendStart(ctx context.Context, x *run, s messenger.Start) error {
 	a.mutex.Lock()
-	if a.runs[s.Task] != x {
+	if a.runs[s.Task] != x || a.heartbeat.Incarnation != a.incarnation || a.heartbeat.EndpointID == "" {
 		a.mutex.Unlock()
 		return ErrOtherIncarnation
 	}
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -103,9 +103,10 @@
 func (a *Attendant) list(ctx context.Context, wait time.Duration) bool {
 	a.mutex.Lock()
 	sentAt := a.Clock.Now()
-	q := ListQuery{FencingToken: a.fencingToken, RecordedSequence: a.recordedSequence, MaxWait: wait}
-	if a.heartbeat.Incarnation == a.incarnation {
-		q.EndpointID = a.heartbeat.EndpointID
+	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait}
+	if a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" {
+		// Another process numbers its results anew and must not discard any.
+		q.EndpointID, q.RecordedSequence = a.heartbeat.EndpointID, a.recordedSequence
 	}
 	if a.listed && sentAt.Before(a.grantedUntil) {
 		q.DeadlineMS = a.leaseDeadlineMS(sentAt)
