elector, attendant: leave out epochs out of range

No entry could become the owner beside a record of an owner whose epoch is near 2^64: its own claim lost against it, and the next epoch wrapped around. Agents would compute wrapped fencing tokens. Suspected in the audit of odd entries, shown by the new test, which fails on the code before (no ownership within 3 s). Change: claims, reports and pings with an epoch above 2^28 - 1 are left out with a log line. Tokens give the numbers of agent processes 24 bits instead of 20, since an agent that is restarted again and again uses up numbers; the counter has 12 bits, and a process asks for a new number when it is used up.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -29,9 +29,10 @@
 	// ownerRetryPause is the time between two reports while no owner accepts them.
 	ownerRetryPause = 60 * time.Millisecond
 	// A fencing token consists of the epoch, the session and a counter, from the highest bits to the lowest. So the tokens of an agent process
-	// are above those of all earlier processes of its VM. JSON numbers are exact up to 53 bits, which leaves 17 for the epoch.
-	sessionBits = 20
-	counterBits = 16
+	// are above those of all earlier processes of its VM. The epoch may have 28 bits. Up to 17 bits the tokens are below 2^53, so that they are
+	// exact also for programs that read JSON numbers as floats.
+	sessionBits = 24
+	counterBits = 12
 )
 
 // Run polls the endpoint for its runs and sends reports about them to the owner until ctx is done.
@@ -269,6 +270,10 @@
 	if epoch < a.epoch || owner == "" || epoch == a.epoch && owner == a.owner {
 		return
 	}
+	if epoch > messenger.MaxEpoch {
+		a.Log.Warn().Uint64("epoch", epoch).Str("owner", owner).Msg("ignored an epoch out of range")
+		return
+	}
 	a.Log.Info().Uint64("epoch", epoch).Str("owner", owner).Uint64("before", a.epoch).Msg("new owner of the jobs observed")
 	if epoch > a.epoch {
 		a.session = 0
--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/sleeper"
 	"bamboohook/internal/fleet/storekeeper"
 )
@@ -198,12 +199,12 @@
 	}
 }
 
-// newestClaim returns the newest claim among the records, or a zero claim if there is none.
+// newestClaim returns the newest claim among the records, or a zero claim if there is none. It leaves out claims with an epoch out of range.
 func newestClaim(records []storekeeper.Record) ownerClaim {
 	var newest ownerClaim
 	for _, r := range records {
 		var c ownerClaim
-		if r.Key == OwnerKey && json.Unmarshal(r.Value, &c) == nil && c.Epoch >= newest.Epoch {
+		if r.Key == OwnerKey && json.Unmarshal(r.Value, &c) == nil && c.Epoch >= newest.Epoch && c.Epoch <= messenger.MaxEpoch {
 			newest = c
 		}
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -292,6 +292,10 @@
 // observeEpoch records an epoch and the address of its owner, unless a higher epoch is known. The owner of a new epoch counts as healthy
 // for a few ping intervals, so that it has time to respond. The caller holds the mutex.
 func (e *Elector) observeEpoch(epoch uint64, owner string) {
+	if epoch > messenger.MaxEpoch {
+		e.Log.Warn().Uint64("epoch", epoch).Str("owner", owner).Msg("ignored an epoch out of range")
+		return
+	}
 	if epoch == e.epoch && e.owner == "" && !e.isOwner {
 		e.owner = owner
 	}
--- a/internal/fleet/elector/lateclaim_test.go
+++ b/internal/fleet/elector/lateclaim_test.go
@@ -78,4 +78,24 @@
 		Eventually(gained).WithTimeout(3 * time.Second).Should(Receive(&records))
 		Expect(records[0]).To(Equal(storekeeper.Record{Key: "job/a", Value: []byte("newer")}))
 	})
+
+	// Guards against an entry that never becomes the owner again, because an odd record of an owner has an epoch after which none can follow.
+	It("gains the ownership beside a record of an owner whose epoch is out of range", func() {
+		s := &lateStore{jobRecord: storekeeper.Record{Key: elector.OwnerKey, Value: []byte(`{"epoch":18446744073709551615,"address":"x","nonce":"n"}`)}}
+		gained := make(chan uint64, 10)
+		e := &elector.Elector{
+			Address: "a", Generation: "g", Weight: 1, PeerClient: s, Store: s, Clock: boottimer.Clock{}, Log: zerolog.Nop(),
+			OnOwnershipGained: func(epoch uint64, _ []storekeeper.Record) { gained <- epoch },
+			OnOwnershipLost:   func(uint64, string) {},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = e.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-ended })
+		var epoch uint64
+		Eventually(gained).WithTimeout(3 * time.Second).Should(Receive(&epoch))
+		Expect(epoch).To(BeNumerically("<", 10))
+		e.ObserveEpoch(messenger.MaxEpoch+1, "x")
+		Consistently(func() string { owner, _ := e.Owner(); return owner }).WithTimeout(300 * time.Millisecond).Should(Equal("a"))
+	})
 })
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -20,6 +20,9 @@
 	MethodConfiguration = "configuration"
 )
 
+// MaxEpoch is the highest valid epoch. Fencing tokens contain the epoch in their highest bits, so they would wrap around above it.
+const MaxEpoch = 1<<28 - 1
+
 // States of a VM in a report.
 const (
 	// VMUp means that the endpoint accepts runs, VMDraining that it is about to shut down and accepts none.
