coordinator: an unconfirmed run is not lost while copies of its orders are under way

Callers could see a task run twice without any process being killed: a report listed a run whose start had no response yet, the agent then refused and forgot it, the next report lacked it, and a delayed copy of the order started it afterwards. A cancellation had the same hole. Change: such a run is expected in reports only if one copy was sent; otherwise the acknowledged stop decides.

--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -61,6 +61,7 @@
 		"takeovers and agent kills":        {takeovers: true, agentKills: true},
 		"takeovers and late messages":      {takeovers: true, lateMessages: true},
 		"late calls without other faults":  {lateCalls: true},
+		"late calls and late messages":     {lateCalls: true, lateMessages: true},
 		"no faults, which checks the test": {},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -247,11 +247,13 @@
 			}
 			x = c.adoptRun(v, reported, now)
 		}
-		x.expectedInReports, x.mayReachNextProcess = true, x.mayReachNextProcess || reported.StartUnanswered
+		// While the start has no response, the agent may still refuse this copy of it. Another copy of the order may then start the run later.
+		x.expectedInReports = x.expectedInReports || !reported.Unconfirmed || x.startsSent <= 1
+		x.mayReachNextProcess = x.mayReachNextProcess || reported.StartUnanswered
 		if !reported.Unconfirmed {
 			c.confirmRun(x)
 		}
-		if x.settling && x.needed && x.stopsSent == 0 {
+		if x.settling && x.needed && x.stopsSent == 0 && !reported.Unconfirmed {
 			x.stopping, x.settling = false, false
 		}
 		// A long-running task whose progress is 100 percent has finished its startup. It does not end, so this counts as a successful run.
