attendant, coordinator, platform: four smaller paths to a second run

Found by the reviewer by reading; callers could see a task run twice. - A listing that arrives after a later one removed a run that the later one had confirmed: a run confirmed by a listing now has a time of confirmation too. - Orders were checked and starts reserved under separate locks: the reservation now checks owner, processes and listing again. - An agent that had listed nothing got a grant after a take-over, which could outlive the time after which its tasks start elsewhere: grants now wait for the list. - With 500 unrecorded results, the endpoint lists only the first: a run that is not listed is then not absent, as it may have ended. Besides, entries that a survey has found but not asked in time count as silent. Measured: the tests of the third and fourth path fail without the change; the first two have no test of their own.

--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -49,6 +49,8 @@
 	c.updateMayHaveRuns(v)
 	c.updatePaces(v, now)
 	response.RecordedSequence = v.recordedSequenceFor(r.Incarnation)
+	// Before the VM's runs are known, a grant could let them go on beyond the time after which their tasks start elsewhere.
+	response.Granted = granted && (r.Listed || s.runsKnown)
 	c.wakePlanner()
 	return response
 }
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -188,4 +188,14 @@
 		cluster.simulate(time.Second)
 		Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.1.0": 1}))
 	})
+	// Guards against a grant that lets runs go on at a VM whose runs the new owner does not know, beyond the time after which it starts their
+	// tasks elsewhere.
+	It("lets an agent renew leases only after it has listed its runs, until all runs are known", func() {
+		a := cluster.agents["vm-0"]
+		a.restart("h")
+		cluster.takeOver()
+		Expect(cluster.sendReport(a).Granted).To(BeFalse())
+		a.runsUnlisted = false
+		Expect(cluster.sendReport(a).Granted).To(BeTrue())
+	})
 })
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -179,6 +179,11 @@
 		group.Wait()
 		entries = slices.DeleteFunc(found, func(entry string) bool { _, ok := asked[entry]; return ok })
 	}
+	if len(entries) > 0 {
+		a.mutex.Lock()
+		a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
+		a.mutex.Unlock()
+	}
 }
 
 // reportTarget returns the address for the next report. It is that of the owner or, while no owner is known, that of each known entry in
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -341,6 +341,24 @@
 		Eventually(func() []messenger.RunResult { return o.report().Results }).WithTimeout(2 * time.Second).Should(HaveLen(1))
 	})
 
+	// Guards against a second run of a task whose run has ended, while the endpoint lists only the first of many unrecorded results.
+	It("does not count a run as absent while results may be missing in the list", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		Eventually(func() []messenger.Run { return o.report().Runs }).Should(HaveLen(1))
+		e.mutex.Lock()
+		delete(e.runs, task)
+		e.resultsMissing = true
+		e.mutex.Unlock()
+		o.mutex.Lock()
+		o.reportsWithoutRuns = 0
+		o.mutex.Unlock()
+		Consistently(func() int { o.mutex.Lock(); defer o.mutex.Unlock(); return o.reportsWithoutRuns }).WithTimeout(900 * time.Millisecond).Should(BeZero())
+		e.mutex.Lock()
+		e.resultsMissing = false
+		e.mutex.Unlock()
+		Eventually(func() []messenger.Run { return o.report().Runs }).WithTimeout(2 * time.Second).Should(BeEmpty())
+	})
+
 	// Guards against a start that is repeated at another endpoint process than the one for which it was ordered.
 	It("does not repeat a start after a heartbeat of another endpoint process", func() {
 		e.mutex.Lock()
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -42,6 +42,8 @@
 	startRelease chan struct{}
 	startBlocked bool
 	notListening bool
+	// resultsMissing is ResultsMissing of the listings.
+	resultsMissing bool
 	// unreadableTasks and unreadableResults are those of each listing. A run of an unreadable task is not listed.
 	unreadableTasks   []string
 	unreadableResults bool
@@ -88,7 +90,7 @@
 
 // listing returns the current lists of runs and results. The caller holds the mutex.
 func (e *endpoint) listing() attendant.Listing {
-	l := attendant.Listing{Incarnation: e.incarnation, ClockMS: time.Now().UnixMilli(), Results: slices.Clone(e.results)}
+	l := attendant.Listing{Incarnation: e.incarnation, ClockMS: time.Now().UnixMilli(), Results: slices.Clone(e.results), ResultsMissing: e.resultsMissing}
 	l.UnreadableTasks, l.UnreadableResults = e.unreadableTasks, e.unreadableResults
 	for _, r := range e.runs {
 		if !slices.Contains(e.unreadableTasks, r.Task) {
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -80,6 +80,8 @@
 		// usable sequence number was left out, so that the endpoint cannot discard it.
 		UnreadableTasks   []string
 		UnreadableResults bool
+		// ResultsMissing reports that there may be more results than the endpoint lists at a time.
+		ResultsMissing bool
 	}
 
 	// StartCall starts a run whose lease expires at DeadlineMS, in milliseconds on the endpoint's clock. Only the endpoint process with
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -52,7 +52,7 @@
 	var group sync.WaitGroup
 	outcomes := make([]messenger.StartOutcome, len(o.Starts))
 	for n, s := range o.Starts {
-		group.Go(func() { outcomes[n] = a.start(ctx, s) })
+		group.Go(func() { outcomes[n] = a.start(ctx, o, s) })
 	}
 	for _, s := range o.Stops {
 		group.Go(func() { a.stop(ctx, s) })
@@ -98,9 +98,9 @@
 }
 
 // start sends a start to the endpoint, repeats it if necessary, and determines its outcome.
-func (a *Attendant) start(ctx context.Context, s messenger.Start) messenger.StartOutcome {
+func (a *Attendant) start(ctx context.Context, o messenger.Orders, s messenger.Start) messenger.StartOutcome {
 	outcome := messenger.StartOutcome{Task: s.Task, Number: s.Number, Outcome: messenger.StartRefused}
-	x, immediateOutcome, reason := a.reserveCapacity(s)
+	x, immediateOutcome, reason := a.reserveCapacity(o, s)
 	if x == nil {
 		outcome.Outcome, outcome.Reason = immediateOutcome, reason
 		return outcome
@@ -147,11 +147,15 @@
 	return errors.Is(err, ErrRefused) || errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrNotListening)
 }
 
-// reserveCapacity reserves capacity for a run. If the start must not be sent to the endpoint, it returns nil and the outcome and reason of
+// reserveCapacity reserves capacity for a run that o orders. If the start must not be sent to the endpoint, it returns nil and the outcome and reason of
 // the start.
-func (a *Attendant) reserveCapacity(s messenger.Start) (reserved *run, outcome, reason string) {
+func (a *Attendant) reserveCapacity(o messenger.Orders, s messenger.Start) (reserved *run, outcome, reason string) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if o.Epoch != a.epoch || o.Session != a.session || o.Incarnation != a.incarnation || !a.listed {
+		// Another owner or process may have become current since the orders were checked, and the runs may have been reported to it.
+		return nil, messenger.StartRefused, ReasonOtherSession
+	}
 	if x, ok := a.runs[s.Task]; ok {
 		switch {
 		case x.Number != s.Number:
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -221,10 +221,17 @@
 			a.runs[listedRun.Task] = x
 		}
 		if x.Number <= listedRun.Number {
+			if x.phase != phaseRunning {
+				x.confirmedAt = a.Clock.Now()
+			}
 			x.Run, x.phase = listedRun, phaseRunning
 		}
 	}
 	for task, x := range a.runs {
+		if l.ResultsMissing {
+			// A run that is not listed may have ended.
+			break
+		}
 		if _, ok := listedTasks[task]; !ok && x.isCertainlyAbsent(q, sentAt) {
 			x.absent = true
 			delete(a.runs, task)
