--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -71,7 +71,8 @@
 		Instance string
 		Task     string
 		Run      int
-		// Kind is "start" for a start, and "done", "failed", "stopped", "lapsed" (lease expired) or "crash" for an end.
+		// Kind is "start" for a start, and "done", "failed", "stopped", "lapsed" (lease expired) or "crash" for an end. It is "result-lost" if
+		// the instance was restarted before an agent allowed it to discard the result of a run that had ended.
 		Kind string
 	}
 
@@ -120,6 +121,9 @@
 	for task, r := range i.runs {
 		i.emitEvent(task, r.number, "crash")
 	}
+	for _, result := range i.results {
+		i.emitEvent(result[1].(string), result[2].(int), "result-lost")
+	}
 	i.startTime, i.fencingToken, i.nextSequence, i.heartbeatSequence = time.Now(), 0, 1, 0
 	i.runs, i.highestRuns, i.results = map[string]*run{}, map[string]int{}, nil
 	i.draining, i.killed = false, false
