--- a/test.sh
+++ b/test.sh
@@ -23,14 +23,19 @@
 if echo "$packages" | grep -qx bamboohook/internal/owner; then
   known_red='(first copy takes effect later|late result of an earlier run and stops the later run)$'
   echo "internal/owner: passed over as in KNOWN-RED.txt: $known_red"
-  # The randomized tests take minutes with the race detector, so they run by themselves. Both runs together contain all tests.
-  random_tests='random faults'
+  # The randomized tests take minutes each with the race detector, so each runs by itself. These runs together contain all tests.
+  random_tests=('random faults$' 'random faults with all policies in use$' 'random faults while workers carry out starts late$')
+  seed=-rapid.seed=31
   if [ "${RANDOM_SEEDS:-no}" = yes ]; then
-    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.skip="$known_red|$random_tests" || failed=1
-    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.focus="$random_tests" || failed=1
-  else
-    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.skip="$known_red|$random_tests" -rapid.seed=31 || failed=1
-    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.focus="$random_tests" -rapid.seed=31 || failed=1
+    seed=
+  fi
+  # shellcheck disable=SC2086
+  go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.skip="$known_red|random faults" $seed || failed=1
+  for pattern in "${random_tests[@]}"; do
+    # shellcheck disable=SC2086
+    go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.focus="$pattern" $seed || failed=1
+  done
+  if [ "${RANDOM_SEEDS:-no}" != yes ]; then
     # Guards against a task that stays in the running state forever. With this seed, the worker refuses to stop a task while it is
     # still unknown whether the start of the task, which got no response, has taken effect. Each refusal postponed that decision.
     go test -count=1 -timeout 8m "$@" ./internal/owner -ginkgo.focus='random faults$' -rapid.seed=1018500398272266554 || failed=1
