subscriber: a configuration is transferred once

Its reads from the store were given up after 1.6 s, in the middle of the transfer, and begun anew; at the same time it fetched the configuration from other entries, with 0.6 s for each attempt, over the same link. Appends, reads and orders timed out behind them (62 failed reads and 15 failed fetches in 11 s).

Change: the timeouts include the time that congestion of the entry's own link may take, and another entry is asked only after the store has had that time.

--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -19,8 +19,15 @@
 	// followWait is how long the store may delay its response to a read while there are no new records. It limits the time until this
 	// process notices that the store has disappeared without closing the connection.
 	followWait = time.Second
-	// callTimeout bounds a call to the store or to another entry, not counting the time for which the store is asked to wait.
+	// callTimeout bounds a call to the store or to another entry, not counting the time for which the store is asked to wait and the time for
+	// the transfer of a configuration.
 	callTimeout = 600 * time.Millisecond
+	// transfersPerCall is the number of congestion times that a call may take longer. A configuration can be larger than what congests the
+	// link otherwise, and a transfer that is given up must begin anew.
+	transfersPerCall = 4
+	// storePatience is how long another entry must have had a newer configuration until it is fetched from there, apart from two congestion
+	// times. Usually the configuration is already under way from the store.
+	storePatience = 250 * time.Millisecond
 	// retryPause is the time until the next read of the store if a read failed or found no configuration.
 	retryPause = 100 * time.Millisecond
 	// peerCheckInterval is the time between two checks whether another entry has a newer configuration.
@@ -50,6 +57,8 @@
 		Source     Source
 		PeerClient PeerClient
 		Log        zerolog.Logger
+		// CongestionTime is the longest time for which congestion may delay messages on the link of this entry.
+		CongestionTime time.Duration
 		// PeerWithNewerVersion returns the address of an entry that has a configuration with a higher version, or "" if there is
 		// none.
 		PeerWithNewerVersion func(version int64) string
@@ -84,7 +93,7 @@
 	var offset int64
 	loaded := false
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout+transfersPerCall*s.CongestionTime)
 		var configuration *routetable.Configuration
 		var err error
 		if loaded {
@@ -114,11 +123,18 @@
 	return nil
 }
 
-// followPeers fetches the configuration from another entry whenever one has a newer one, until ctx is done.
+// followPeers fetches the configuration from another entry when one has had a newer one for some time, until ctx is done.
 func (s *Subscriber) followPeers(ctx context.Context) {
+	var behindFor time.Duration
 	for ctx.Err() == nil {
-		if entry := s.PeerWithNewerVersion(s.Version()); entry != "" {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		entry := s.PeerWithNewerVersion(s.Version())
+		if entry == "" {
+			behindFor = 0
+		} else {
+			behindFor += peerCheckInterval
+		}
+		if behindFor > storePatience+2*s.CongestionTime {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout+transfersPerCall*s.CongestionTime)
 			configuration, err := s.PeerClient.FetchConfiguration(callCtx, entry)
 			cancel()
 			if err != nil {
