elector: a council watches the owner, the others hear of it by gossip

Cause: each entry pinged each other one every 150 ms and sent the addresses of all entries with each ping. On links of 2 Mbit/s no owner settled: entries claimed the ownership from an owner that was still loading its records, and each claimant loaded them too.

Change: the owner and the four entries that should claim next ping each other; each entry pings two random ones every 300 ms, with what it knows of the council and of a few others, and four at once about a new epoch. Links and processors tell for how long an entry may be silent. A claim under way is left alone, repeated claims back off, an owner leaves the ownership to an entry that can carry 1.5 times as much. The store's list of entries tells weights and the last epoch, and loses entries that are silent for a minute. A refused connection is announced after 30 ms in place of 150. Agents get a few addresses in place of all.

May grant: contact with the store counts from the sending of a read or append and not from the arrival of its response, which may have waited while the process was paused; an owner without contact needs a fresh answer of every entry that may run, and at least one. Before, an owner that was cut off granted again after 10 s. A process that was paused gives the others time to be heard before it claims.

--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -45,7 +45,11 @@
 			if err != nil {
 				logger.Warn().Err(err).Msg("cannot read the list of entries from the store")
 			}
-			return entries
+			var addresses []string
+			for _, entry := range entries {
+				addresses = append(addresses, entry.Address)
+			}
+			return addresses
 		},
 	}
 	orderServer := &peer.Server{}
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -65,10 +65,12 @@
 	e.committer = &committer.Committer{Store: store, Clock: clock, Log: logger, Meter: e.meter}
 	e.elector = &elector.Elector{
 		Address: settings.PeerAddress, Generation: rand.Text(), Weight: settings.Processors + processorsPerMbps*settings.Link, Seeds: settings.Entries,
-		PeerClient: peerClient, Store: store, Clock: clock, Log: logger, StoreContactTimeout: storeContactTimeout,
+		CongestionTime: congestionTime(settings),
+		PeerClient:     peerClient, Store: store, Clock: clock, Log: logger, StoreContactTimeout: storeContactTimeout,
 	}
 	e.subscriber = &subscriber.Subscriber{
-		Source: store, PeerClient: peerClient, Log: logger, PeerWithNewerVersion: e.elector.PeerWithNewerVersion, OnStoreResponse: e.elector.RecordStoreContact, OnChange: e.applyRoutes,
+		Source: store, PeerClient: peerClient, Log: logger, CongestionTime: congestionTime(settings),
+		PeerWithNewerVersion: e.elector.PeerWithNewerVersion, OnStoreResponse: e.elector.RecordStoreContact, OnChange: e.applyRoutes,
 	}
 	e.elector.ConfigurationVersion = e.subscriber.Version
 	e.coordinator = &coordinator.Coordinator{
@@ -82,7 +84,7 @@
 		advisor.Log = logger
 		e.coordinator.Advisor = advisor
 	}
-	e.committer.Collect, e.committer.OnFenced = e.coordinator.CollectWrite, e.elector.HandleFenced
+	e.committer.Collect, e.committer.OnFenced, e.committer.OnAppended = e.coordinator.CollectWrite, e.elector.HandleFenced, e.elector.RecordAppend
 	e.elector.OnOwnershipGained, e.elector.OnOwnershipLost = e.handleOwnershipGained, e.handleOwnershipLost
 	e.receptionist = &receptionist.Receptionist{
 		Address: settings.PeerAddress, LocalOwner: e.coordinator, PeerClient: peerClient, Ownership: e.elector, Clock: clock, Log: logger,
@@ -144,6 +146,18 @@
 	return group.Wait()
 }
 
+// congestionTime returns the longest time for which messages of the process may wait because of its link or its processors.
+func congestionTime(settings platform.Settings) time.Duration {
+	seconds := 0.0
+	if settings.Link > 0 {
+		seconds += congestionMegabits / settings.Link
+	}
+	if settings.Processors > 0 {
+		seconds += congestionProcessorSeconds / settings.Processors
+	}
+	return min(time.Duration(seconds*float64(time.Second)), maxCongestionTime)
+}
+
 // handleOwnershipGained starts the scheduling of jobs after this entry has become the owner. records holds the newest record of
 // each key in the store. Batch 1 of an epoch is the claim of the ownership, which the elector has already written, so the
 // committer continues with batch 2.
@@ -211,7 +225,7 @@
 	return s
 }
 
-// handleReport passes an agent's report to the coordinator. The response names the current owner and all entries. If this entry
+// handleReport passes an agent's report to the coordinator. The response names the current owner and some entries. If this entry
 // is not the owner, or if the coordinator does not own the jobs in the current epoch yet, the response neither permits the agent to renew
 // leases nor numbers its process.
 func (e *platformEntry) handleReport(r messenger.Report) messenger.ReportResponse {
@@ -219,7 +233,7 @@
 	response := e.coordinator.Report(r)
 	ownedEpoch := response.Epoch
 	response.Owner, response.Epoch = e.elector.Owner()
-	response.Entries = e.elector.Entries()
+	response.Entries, response.EntryCount = e.elector.Contacts()
 	if response.Owner != e.settings.PeerAddress || response.Epoch != ownedEpoch {
 		response.Granted, response.Session, response.Outdated = false, 0, false
 	}
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -26,6 +26,9 @@
 	// unawareOwnerTimeout is how long an owner that has a successor may not be aware of it. It is the time for which owners permit agents to
 	// renew leases without contact to the store.
 	unawareOwnerTimeout = 2 * time.Second
+	// maxSurveyed is the maximum number of entries that a new agent process asks for the owner. In a larger installation it can't rule out that
+	// another entry knows of a later owner.
+	maxSurveyed = 12
 	// ownerRetryPause is the time between two reports while no owner accepts them.
 	ownerRetryPause = 60 * time.Millisecond
 	// A fencing token consists of the epoch, the session and a counter, from the highest bits to the lowest. So the tokens of an agent process
@@ -136,23 +139,23 @@
 	}
 }
 
-// surveyEntries sends a report to each known entry and stores the owner with the highest epoch in the responses. A new agent process knows no
-// epoch. Without the survey it could obey a former owner that is not aware of its successor yet, although the previous process had reported to
-// the successor. If an entry may run but does not respond, that entry may be the successor, and the agent refuses starts until no former owner
-// can be unaware of it.
+// surveyEntries sends a report to each known entry, or to maxSurveyed of them, and stores the owner with the highest epoch in the responses. A new
+// agent process knows no epoch. Without the survey it could obey a former owner that is not aware of its successor yet, although the previous
+// process had reported to the successor. If an entry may run but does not respond or was not asked, that entry may be the successor, and the agent
+// refuses starts until no former owner can be unaware of it.
 func (a *Attendant) surveyEntries(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	asked := map[string]struct{}{}
-	entries := a.Seeds
-	for len(entries) > 0 && ctx.Err() == nil {
+	entries, entryCount := a.Seeds, 0
+	for len(entries) > 0 && len(asked) < maxSurveyed && ctx.Err() == nil {
 		var (
 			group sync.WaitGroup
 			mutex sync.Mutex
 			found []string
 		)
 		for _, entry := range entries {
-			if _, ok := asked[entry]; ok {
+			if _, ok := asked[entry]; ok || len(asked) == maxSurveyed {
 				continue
 			}
 			asked[entry] = struct{}{}
@@ -172,14 +175,14 @@
 				a.observeOwner(response.Epoch, response.Owner)
 				a.mutex.Unlock()
 				mutex.Lock()
-				found = append(found, response.Entries...)
+				found, entryCount = append(found, response.Entries...), max(entryCount, response.EntryCount)
 				mutex.Unlock()
 			})
 		}
 		group.Wait()
 		entries = slices.DeleteFunc(found, func(entry string) bool { _, ok := asked[entry]; return ok })
 	}
-	if len(entries) > 0 {
+	if len(entries) > 0 || entryCount > len(asked) {
 		a.mutex.Lock()
 		a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
 		a.mutex.Unlock()
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -53,6 +53,8 @@
 		// OnFenced is called with the epoch of an append that the store has rejected because a writer with a higher epoch exists.
 		// It may be nil.
 		OnFenced func(epoch uint64)
+		// OnAppended is called with the epoch of an append that the store has accepted, and the time when it was sent. It may be nil.
+		OnAppended func(epoch uint64, sentAt time.Time)
 
 		mutex sync.Mutex
 		// wake is a channel on which Notify wakes Run. queue contains the writes that are not part of a batch yet.
@@ -232,6 +234,9 @@
 		switch {
 		case err == nil:
 			c.recordSuccess(batch)
+			if c.OnAppended != nil {
+				c.OnAppended(batch.Epoch, startedAt)
+			}
 			completeWrites(writes, nil)
 			return
 		case errors.Is(err, storekeeper.ErrFenced):
--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -1,7 +1,6 @@
 package elector
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,13 +12,40 @@
 	"bamboohook/internal/fleet/storekeeper"
 )
 
+const (
+	// rankDelay is how long an entry delays its claim for each live entry that should claim before it. The delay makes it likely that
+	// only one entry claims.
+	rankDelay = 120 * time.Millisecond
+	// outsiderDelay is how much longer an entry outside of the council delays its claim.
+	outsiderDelay = 2 * time.Second
+	// firstClaimDelay gives the entries time to discover each other before the first claim, apart from the time that congestion may take.
+	firstClaimDelay = 250 * time.Millisecond
+	// minClaimInterval is the minimum time between two claims of one entry. It doubles with each claim after which the election has not
+	// settled, up to maxClaimIntervalDoublings times.
+	minClaimInterval          = 250 * time.Millisecond
+	maxClaimIntervalDoublings = 3
+	// claimPatience is how long an entry waits while another one is claiming the ownership, apart from the time that congestion may take.
+	claimPatience = 2 * time.Second
+	// pauseThreshold is the delay of a check from which on this process counts as paused.
+	pauseThreshold = 300 * time.Millisecond
+)
+
 // claimLoop claims the ownership whenever this entry should do so, until ctx is done.
 func (e *Elector) claimLoop(ctx context.Context) {
 	for ctx.Err() == nil {
+		startedAt := e.Clock.Now()
 		if e.shouldClaim() {
 			e.claim(ctx)
+			startedAt = e.Clock.Now()
 		}
 		sleeper.Sleep(ctx, claimCheckInterval)
+		if now := e.Clock.Now(); now.Sub(startedAt) > claimCheckInterval+pauseThreshold {
+			// After a pause, other entries seem to have been silent.
+			e.mutex.Lock()
+			e.resumedAt = now
+			e.mutex.Unlock()
+			e.Log.Warn().Dur("pause", now.Sub(startedAt)).Msg("this process was paused")
+		}
 	}
 }
 
@@ -29,72 +55,34 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.Clock.Now()
-	if e.isOwner || e.draining && e.canHandOver(now) || now.Sub(e.startedAt) < firstClaimDelay || now.Sub(e.lastClaimAt) < minClaimInterval || e.storeAge(now) > maxStoreAge {
+	if e.isOwner || e.draining && e.canHandOver(now) || !e.registered || now.Sub(e.startedAt) < firstClaimDelay+e.CongestionTime ||
+		now.Sub(e.lastClaimAt) < e.claimInterval() || e.storeAge(now) > maxStoreAge {
 		return false
 	}
 	if e.ownerHealthy(now) {
 		e.ownerSuspectedAt = time.Time{}
+		if now.Sub(e.epochObservedAt) > settledDuration {
+			e.vainClaims = 0
+		}
 		return false
 	}
 	if e.ownerSuspectedAt.IsZero() {
 		e.ownerSuspectedAt = now
 	}
-	return now.Sub(e.ownerSuspectedAt) >= time.Duration(e.rank(now))*rankDelay
-}
-
-// canHandOver reports whether there is a live entry that isn't draining and has contact with the store, so that it can become the owner.
-func (e *Elector) canHandOver(now time.Time) bool {
-	for _, p := range e.peers {
-		if p.isLive(now) && !p.lastPing.Draining && p.lastPing.StoreAge < maxStoreAge {
-			return true
-		}
-	}
-	return false
-}
-
-// ownerHealthy reports whether the owner need not be replaced. An owner that refuses connections is not healthy. Any other owner is healthy
-// for a short time after this entry has observed its epoch. Later an owner is not healthy if its last ping says that it doesn't hold the
-// ownership, or that it drains while this entry doesn't. Otherwise a live owner is healthy if it has contact with the store, and an owner
-// that this entry doesn't hear from is healthy if another live entry hears from it. The caller makes sure that this entry has contact with
-// the store itself.
-func (e *Elector) ownerHealthy(now time.Time) bool {
-	if e.owner == e.Address {
-		// The ownership was claimed by an earlier process at this address, which has ended.
+	suspected := now.Sub(e.ownerSuspectedAt)
+	if suspected < claimPatience+e.CongestionTime && e.othersClaim(now) {
 		return false
 	}
-	p, ok := e.peers[e.owner]
-	if now.Sub(e.epochObservedAt) < livenessTimeout && (!ok || p.refusedConnections < maxRefusedConnections) {
-		return true
-	}
-	if !ok {
-		return false
+	delay := time.Duration(e.rank(now)) * rankDelay
+	if !e.inCouncil {
+		delay += outsiderDelay
 	}
-	if p.refusedConnections >= maxRefusedConnections || !p.lastHeardAt.IsZero() && (!p.holdsOwnership(e) || p.lastPing.Draining && !e.draining) {
-		return false
-	}
-	if p.isLive(now) {
-		return p.lastPing.StoreAge < maxStoreAge
-	}
-	for address, other := range e.peers {
-		if address != e.owner && other.isLive(now) && e.peerHearsOwner(other, now) {
-			return true
-		}
-	}
-	return false
+	return suspected >= delay
 }
 
-// rank returns the number of live entries that should claim the ownership before this one.
-func (e *Elector) rank(now time.Time) int {
-	rank := 0
-	for address, p := range e.peers {
-		if address == e.owner || !p.isLive(now) || p.lastPing.Draining || p.lastPing.StoreAge > maxStoreAge {
-			continue
-		}
-		if cmp.Or(cmp.Compare(p.lastPing.Weight, e.Weight), cmp.Compare(e.Address, address)) > 0 {
-			rank++
-		}
-	}
-	return rank
+// claimInterval returns the minimum time between two claims of this entry. The caller holds the mutex.
+func (e *Elector) claimInterval() time.Duration {
+	return minClaimInterval << min(max(e.vainClaims-1, 0), maxClaimIntervalDoublings)
 }
 
 // claim appends a claim of the ownership to the store and reads the newest claim back. Only the claim that was read back decides who is the
@@ -104,11 +92,20 @@
 	e.mutex.Lock()
 	now := e.Clock.Now()
 	e.claimCount++
+	e.vainClaims++
 	e.lastClaimAt = now
 	claim := ownerClaim{Epoch: e.epoch + 1, Address: e.Address, ClaimID: e.Generation + "-" + strconv.Itoa(e.claimCount)}
+	e.claiming = claim.Epoch
 	e.Log.Info().Uint64("epoch", claim.Epoch).Str("owner", e.owner).Dur("suspected", now.Sub(e.ownerSuspectedAt)).
-		Dur("store-age", e.storeAge(now)).Msg("claiming the ownership of the jobs")
+		Dur("store-age", e.storeAge(now)).Bool("council", e.inCouncil).Int("known", len(e.peers)).Int("vain-claims", e.vainClaims-1).
+		Msg("claiming the ownership of the jobs")
+	e.requestProbes()
 	e.mutex.Unlock()
+	defer func() {
+		e.mutex.Lock()
+		e.claiming = 0
+		e.mutex.Unlock()
+	}()
 	value, err := json.Marshal(claim)
 	if err != nil {
 		panic("elector: cannot encode the claim: " + err.Error())
@@ -122,29 +119,32 @@
 		e.Log.Warn().Err(err).Uint64("epoch", claim.Epoch).Msg("claim was not appended to the store")
 		return
 	}
+	loadedAt := e.Clock.Now()
 	records, offset, loadErr := e.load(ctx)
 	if err != nil && loadErr == nil && newestClaim(records) == claim {
 		// The store may have executed the claim during the load. Until then it accepted records of the previous owner, which the pages
 		// loaded before lack.
 		e.Log.Info().AnErr("append", err).Uint64("epoch", claim.Epoch).Msg("claim without a response was stored; loading the records again")
+		loadedAt = e.Clock.Now()
 		records, offset, loadErr = e.load(ctx)
 	}
 	if loadErr != nil {
 		e.Log.Warn().AnErr("append", err).Err(loadErr).Uint64("epoch", claim.Epoch).Msg("failed to read the claim back from the store")
 		return
 	}
-	e.becomeOwnerIfNewest(claim, records, offset)
+	e.becomeOwnerIfNewest(claim, records, offset, loadedAt)
 }
 
-// load returns the newest record of each key and the offset at which they end. It fails if the store doesn't return them within loadTimeout.
+// load returns the newest record of each key and the offset at which they end. It fails if the store doesn't return them in time.
 func (e *Elector) load(ctx context.Context) ([]storekeeper.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout+2*e.CongestionTime)
 	defer cancel()
 	return e.Store.Load(ctx)
 }
 
-// becomeOwnerIfNewest makes this entry the owner if its claim is the newest one among the records, which end at the offset.
-func (e *Elector) becomeOwnerIfNewest(claim ownerClaim, records []storekeeper.Record, offset int64) {
+// becomeOwnerIfNewest makes this entry the owner if its claim is the newest one among the records, which end at the offset and were requested at
+// loadedAt.
+func (e *Elector) becomeOwnerIfNewest(claim ownerClaim, records []storekeeper.Record, offset int64, loadedAt time.Time) {
 	newest := newestClaim(records)
 	e.mutex.Lock()
 	e.lastStoreContactAt = e.Clock.Now()
@@ -154,6 +154,8 @@
 	won := newest == claim && claim.Epoch >= e.epoch
 	if won {
 		e.epoch, e.owner, e.isOwner, e.storeOffset = claim.Epoch, e.Address, true, offset
+		e.ownerSince, e.epochObservedAt, e.ownerContactAt = e.lastStoreContactAt, e.lastStoreContactAt, loadedAt
+		e.requestProbes()
 	} else {
 		e.Log.Info().Uint64("epoch", claim.Epoch).Uint64("newest", newest.Epoch).Str("owner", newest.Address).Msg("claim did not win the ownership")
 		e.observeEpoch(newest.Epoch, newest.Address)
@@ -161,6 +163,7 @@
 			// The newest claim may be older than this process, so its owner is not given time to respond before this entry
 			// claims again.
 			e.epochObservedAt, e.lastClaimAt = time.Time{}, time.Time{}
+			e.vainClaims--
 		}
 	}
 	e.mutex.Unlock()
@@ -179,11 +182,13 @@
 			sleeper.Sleep(ctx, claimCheckInterval)
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, followWait+followTimeoutMargin)
+		sentAt := e.Clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, followWait+followTimeoutMargin+e.CongestionTime)
 		records, next, err := e.Store.Follow(callCtx, offset, followWait)
 		cancel()
 		if errors.Is(err, storekeeper.ErrDeleted) {
 			// The deleted records may have contained a claim, so the newest record of each key is loaded.
+			sentAt = e.Clock.Now()
 			records, next, err = e.load(ctx)
 		}
 		if err != nil {
@@ -193,7 +198,7 @@
 		}
 		newest := newestClaim(records)
 		e.mutex.Lock()
-		e.lastStoreContactAt, e.storeOffset = e.Clock.Now(), next
+		e.lastStoreContactAt, e.ownerContactAt, e.storeOffset = e.Clock.Now(), latest(e.ownerContactAt, sentAt), next
 		e.observeEpoch(newest.Epoch, newest.Address)
 		e.mutex.Unlock()
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -1,9 +1,12 @@
 // Package elector implements the election of the entry that owns the batch jobs. An entry becomes the owner by appending a claim to the
-// store, which orders the claims. The entries ping each other to detect a failed owner and to decide which of them claims first.
+// store, which orders the claims. The owner and the entries that should claim next, which are the council, ping each other to detect a failed
+// owner. The other entries learn who owns the jobs from pings to a few random ones, so that the cost of an entry doesn't depend on their number.
 package elector
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,39 +23,34 @@
 const (
 	// claimCheckInterval is the time between two checks whether this entry should claim the ownership, or has become the owner.
 	claimCheckInterval = 25 * time.Millisecond
-	pingInterval       = 150 * time.Millisecond
-	pingTimeout        = 400 * time.Millisecond
-	// livenessTimeout is how long an entry counts as live after it was last heard from. It is longer than three ping intervals plus the
-	// delay of one ping.
+	// livenessTimeout is how long an entry counts as live after it was last heard from, apart from the time that congestion may take. It is
+	// longer than three ping intervals plus the delay of one ping.
 	livenessTimeout = 650 * time.Millisecond
 	// maxStoreAge is the time since the last contact with the store after which an entry counts as disconnected from it. Package
 	// subscriber lets the store delay its responses for up to a second, so this time can reach one second on a working connection.
 	maxStoreAge = 1600 * time.Millisecond
-	// rankDelay is how long an entry delays its claim for each live entry that should claim before it. The delay makes it likely that
-	// only one entry claims.
-	rankDelay = 120 * time.Millisecond
-	// firstClaimDelay gives the entries time to discover each other before the first claim.
-	firstClaimDelay = 250 * time.Millisecond
-	// minClaimInterval is the minimum time between two claims of one entry.
-	minClaimInterval = 250 * time.Millisecond
 	// storeCallTimeout bounds an append of a claim, and a call that registers this entry or reads the list of entries.
 	storeCallTimeout = time.Second
-	// loadTimeout bounds a call that loads the newest record of each key from the store.
+	// loadTimeout bounds a call that loads the newest record of each key from the store, apart from the time that congestion may take.
 	loadTimeout = 2 * time.Second
-	// followWait is how long the store may delay its response to a read while there are no new records. followTimeoutMargin is added to
-	// it to get the timeout of the read.
-	followWait          = 700 * time.Millisecond
+	// followWait is how long the store may delay its response to a read while there are no new records. Contact with the store counts from the
+	// sending of a read, so two reads in a row must fit in StoreContactTimeout. followTimeoutMargin is added to it to get the timeout of the
+	// read.
+	followWait          = 500 * time.Millisecond
 	followTimeoutMargin = 800 * time.Millisecond
-	// entriesReadInterval is the time between two reads of the list of entries from the store.
-	entriesReadInterval = 3 * time.Second
-	// unreachableTimeout is the time since the last contact with an entry after which the entry counts as ended. It is then pinged only
-	// once per unreachablePingInterval.
-	unreachableTimeout      = 10 * time.Second
-	unreachablePingInterval = 2 * time.Second
+	// unreachableTimeout is how long an entry must have been silent, while this one had contact with the store, to count as ended for good.
+	unreachableTimeout = 10 * time.Second
+	// evidenceTimeout is how long the response of an entry without contact to the store proves that it has not claimed the ownership. It is
+	// shorter than the time for which the next owner waits for grants of this one.
+	evidenceTimeout = 1300 * time.Millisecond
 	// storeRetryPause is the time until a failed access to the store is repeated.
 	storeRetryPause = 200 * time.Millisecond
 	// maxRefusedConnections is the number of consecutive refused connections after which an entry's process counts as ended.
 	maxRefusedConnections = 2
+	// relayDuration is how long requests go through another entry after a call to the owner has failed.
+	relayDuration = 2 * time.Second
+	// maxContacts is the maximum number of addresses that Contacts returns.
+	maxContacts = 12
 )
 
 type (
@@ -71,9 +69,11 @@
 		// Follow returns the records from the offset on and the offset after the last one. If there are none, it waits for them, at
 		// most for the given time. It returns storekeeper.ErrDeleted if records at the offset were deleted.
 		Follow(ctx context.Context, from int64, wait time.Duration) ([]storekeeper.Record, int64, error)
-		// RegisterEntry adds the address of an entry to the list of entries in the store. Entries returns that list.
-		RegisterEntry(ctx context.Context, entry string) error
-		Entries(ctx context.Context) ([]string, error)
+		// RegisterEntry adds an entry to the list of entries in the store, or replaces it. RemoveEntry removes the entry with the
+		// address. Entries returns the list.
+		RegisterEntry(ctx context.Context, entry storekeeper.EntryRecord) error
+		RemoveEntry(ctx context.Context, address string) error
+		Entries(ctx context.Context) ([]storekeeper.EntryRecord, error)
 	}
 
 	// Clock is a clock that keeps running while the machine is suspended.
@@ -90,6 +90,9 @@
 		Generation string
 		// Weight is the priority of this entry. Entries with a higher weight claim first.
 		Weight float64
+		// CongestionTime is the longest time for which congestion of this entry's link or processor may delay its messages. Other
+		// entries tolerate its silence for that long.
+		CongestionTime time.Duration
 		// Seeds are the addresses of some entries, from which this entry learns the addresses of the others.
 		Seeds      []string
 		PeerClient PeerClient
@@ -99,6 +102,8 @@
 		// StoreContactTimeout is how long the owner lets agents renew leases after its last contact with the store, see
 		// MayGrantLeases.
 		StoreContactTimeout time.Duration
+		// Random returns a random number from 0 to n-1. If it is nil, package rand is used.
+		Random func(n int) int
 		// ConfigurationVersion returns the version of this entry's configuration. It may be nil.
 		ConfigurationVersion func() int64
 		// OnOwnershipGained is called with the newest record of each key when this entry becomes the owner of an epoch.
@@ -108,43 +113,51 @@
 
 		mutex     sync.Mutex
 		startedAt time.Time
-		// peers contains the states of the other known entries by address.
-		peers map[string]*peer
+		// peers contains the states of the other known entries by address, and addresses the keys of peers.
+		peers     map[string]*peer
+		addresses []string
+		// council contains the addresses of the other entries that this one watches, as long as it belongs to the council itself, and of those
+		// that it believes to be in the council otherwise. inCouncil reports whether it belongs to the council, and councilSince since when.
+		council      []string
+		inCouncil    bool
+		councilSince time.Time
 		// epoch is the highest known epoch. owner is the address of its owner, or "" if that is unknown.
 		epoch uint64
 		owner string
-		// isOwner reports whether this process is the owner of the epoch.
-		isOwner bool
+		// isOwner reports whether this process is the owner of the epoch, and ownerSince since when.
+		isOwner    bool
+		ownerSince time.Time
+		// claiming is the epoch that this process is claiming, or 0.
+		claiming uint64
 		// draining reports whether Drain was called, so that another entry should become the owner.
-		draining           bool
+		draining bool
+		// lastStoreContactAt is when the store last responded to any component. ownerContactAt is when the last read or append was sent to
+		// which the store responded, and which shows that this process still was the owner then.
 		lastStoreContactAt time.Time
+		ownerContactAt     time.Time
 		// epochObservedAt is when a higher epoch of another entry was last observed.
 		epochObservedAt time.Time
+		// ownerKnownAt is when any entry last heard from the owner, as far as this one knows.
+		ownerKnownAt time.Time
+		// ownerCallFailedAt is when a request to the owner last had no response. It is zero if the last one had a response.
+		ownerCallFailedAt time.Time
 		// ownerSuspectedAt is the time since which the owner counts as failed. It is zero while the owner is healthy.
 		ownerSuspectedAt time.Time
-		// lastClaimAt is when this process last claimed the ownership, and claimCount the number of its claims.
+		// resumedAt is when this process last ran again after a pause. What it has not heard before then shows nothing about others.
+		resumedAt time.Time
+		// lastClaimAt is when this process last claimed the ownership, and claimCount the number of its claims. vainClaims is the number of
+		// its claims since an owner last stayed for settledDuration.
 		lastClaimAt time.Time
 		claimCount  int
+		vainClaims  int
 		// storeOffset is the offset from which this entry, while it is the owner, reads the next records of the store.
 		storeOffset int64
-		// registered reports whether this entry is in the store's list of entries.
-		registered bool
-		// startPinging starts a loop that pings the entry at the address.
-		startPinging func(address string)
-	}
-
-	// peer is the known state of another entry.
-	peer struct {
-		// lastPing is the last state that the entry has sent, in a ping or in the response to one, and lastHeardAt the time of its
-		// arrival.
-		lastPing    messenger.Ping
-		lastHeardAt time.Time
-		// lastAsked is unused and always zero.
-		lastAsked time.Time
-		// addedAt is when this entry first heard of the other one.
-		addedAt time.Time
-		// refusedConnections is the number of pings in a row whose connection was refused.
-		refusedConnections int
+		// registered reports whether this entry is in the store's list of entries. registeredEpoch is the epoch in its record there.
+		registered      bool
+		registeredEpoch uint64
+		// probeRequests makes probeLoop send pings at once. spawn runs a function in a goroutine that Run waits for.
+		probeRequests chan struct{}
+		spawn         func(f func())
 	}
 
 	// ownerClaim is the value of a store record with the key OwnerKey. The entry in the newest claim is the owner of the batch jobs.
@@ -162,7 +175,7 @@
 	defer e.mutex.Unlock()
 	now := e.Clock.Now()
 	for address, p := range e.peers {
-		if p.isLive(now) && p.lastPing.Version > version {
+		if p.lastPing.Version > version && e.isLive(p, now) {
 			return address
 		}
 	}
@@ -173,9 +186,9 @@
 func (e *Elector) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	e.mutex.Lock()
-	e.peers, e.startedAt = map[string]*peer{}, e.Clock.Now()
-	e.startPinging = func(address string) {
-		group.Go(func() error { e.pingLoop(ctx, address); return nil })
+	e.peers, e.startedAt, e.probeRequests = map[string]*peer{}, e.Clock.Now(), make(chan struct{}, 1)
+	e.spawn = func(f func()) {
+		group.Go(func() error { f(); return nil })
 	}
 	for _, s := range e.Seeds {
 		e.getOrAddPeer(s)
@@ -184,6 +197,7 @@
 	group.Go(func() error { e.entriesLoop(ctx); return nil })
 	group.Go(func() error { e.followStoreLoop(ctx); return nil })
 	group.Go(func() error { e.claimLoop(ctx); return nil })
+	group.Go(func() error { e.probeLoop(ctx); return nil })
 	return group.Wait()
 }
 
@@ -200,22 +214,52 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.Clock.Now()
-	if p, ok := e.peers[e.owner]; !ok || p.isLive(now) {
+	p, ok := e.peers[e.owner]
+	switch {
+	case !ok:
+		return ""
+	case e.inCouncil && e.isLive(p, now):
+		return ""
+	case !e.inCouncil && (e.ownerCallFailedAt.IsZero() || now.Sub(e.ownerCallFailedAt) > relayDuration):
+		// This entry doesn't ping the owner, so only failed calls show that it doesn't reach it.
 		return ""
 	}
 	for address, p := range e.peers {
-		if address != e.owner && p.isLive(now) && e.peerHearsOwner(p, now) {
+		if address != e.owner && e.isLive(p, now) && e.peerHearsOwner(p, now) {
 			return address
 		}
 	}
 	return ""
 }
 
-// Entries returns the addresses of all known entries, including this one.
-func (e *Elector) Entries() []string {
+// RecordOwnerCall records whether the entry at the address has responded as the owner to a call of this one.
+func (e *Elector) RecordOwnerCall(address string, responded bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if address != e.owner {
+		return
+	}
+	now := e.Clock.Now()
+	if responded {
+		e.ownerKnownAt, e.ownerCallFailedAt = now, time.Time{}
+		return
+	}
+	e.ownerCallFailedAt = now
+}
+
+// Contacts returns the addresses of at most maxContacts entries, including this one, and the number of all known entries. The entries that are
+// likely to own the jobs come first.
+func (e *Elector) Contacts() ([]string, int) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.entries()
+	contacts := append([]string{e.Address}, e.council...)
+	for n := e.random(len(e.addresses) + 1); len(contacts) < min(maxContacts, len(e.addresses)+1); n++ {
+		address := e.addresses[n%len(e.addresses)]
+		if !slices.Contains(contacts, address) {
+			contacts = append(contacts, address)
+		}
+	}
+	return contacts, len(e.addresses) + 1
 }
 
 // StoreAge returns the time since the last contact with the store, or one hour if there was none.
@@ -232,9 +276,19 @@
 	e.lastStoreContactAt = e.Clock.Now()
 }
 
-// MayGrantLeases reports whether this entry, as the owner, may let agents renew their leases. It may do so if it had contact with the store
-// within StoreContactTimeout. It may also do so if every other entry that may still run reports that it has no contact with the store
-// either, because none of them can then have claimed the ownership.
+// RecordAppend records that the store has accepted an append of the owner of the epoch, which was sent at the given time.
+func (e *Elector) RecordAppend(epoch uint64, sentAt time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.isOwner && e.epoch == epoch && sentAt.After(e.ownerContactAt) {
+		e.ownerContactAt = sentAt
+	}
+}
+
+// MayGrantLeases reports whether this entry, as the owner, may let agents renew their leases and may send them orders. It may do so within
+// StoreContactTimeout after it sent a read or an append which shows that no other entry had claimed the ownership. A response counts from the
+// sending of its request, because it may have been under way for long, or may have waited while this process was paused. The entry may also do
+// so if no other entry can have claimed the ownership, see othersDisconnected.
 func (e *Elector) MayGrantLeases() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -242,18 +296,28 @@
 	if !e.isOwner {
 		return false
 	}
-	if e.storeAge(now) < e.StoreContactTimeout {
-		return true
-	}
+	return now.Sub(e.ownerContactAt) < e.StoreContactTimeout || e.othersDisconnected(now)
+}
+
+// othersDisconnected reports whether every other entry that may run has told or shown recently that it cannot have claimed the ownership: it had
+// no contact with the store, or its process didn't run. A silent entry may have claimed it, unless it was already silent for long while this
+// entry had contact with the store. If no entry responds at all, this one may be cut off. The caller holds the mutex.
+func (e *Elector) othersDisconnected(now time.Time) bool {
+	confirmations, others := 0, 0
 	for _, p := range e.peers {
-		if p.refusedConnections >= maxRefusedConnections || p.lastHeardAt.IsZero() || now.Sub(p.lastHeardAt) > unreachableTimeout {
+		if e.lastStoreContactAt.Sub(p.lastSignOfLife()) > unreachableTimeout {
 			continue
 		}
-		if !p.isLive(now) || p.lastPing.StoreAge < maxStoreAge || p.lastPing.Epoch > e.epoch {
+		others++
+		switch {
+		case now.Sub(p.refusedAt) < evidenceTimeout && p.refusedConnections >= maxRefusedConnections:
+		case now.Sub(p.answeredAt) < evidenceTimeout && p.answer.StoreAge >= maxStoreAge && p.answer.Epoch <= e.epoch:
+			confirmations++
+		default:
 			return false
 		}
 	}
-	return true
+	return confirmations > 0 || others == 0
 }
 
 // Drain announces to the other entries that this process is about to end, so that one of them claims the ownership.
@@ -298,16 +362,27 @@
 	}
 	if epoch == e.epoch && e.owner == "" && !e.isOwner {
 		e.owner = owner
+		e.addOwnerAsPeer()
 	}
 	if epoch <= e.epoch {
 		return
 	}
 	e.epochObservedAt = e.Clock.Now()
+	e.ownerKnownAt, e.ownerCallFailedAt = e.epochObservedAt, time.Time{}
 	e.Log.Info().Uint64("epoch", epoch).Str("owner", owner).Uint64("before", e.epoch).Msg("higher epoch observed")
 	if e.isOwner {
 		e.loseOwnership("another entry has claimed the ownership")
 	}
 	e.epoch, e.owner = epoch, owner
+	e.addOwnerAsPeer()
+	e.requestProbes()
+}
+
+// addOwnerAsPeer adds the owner to the known entries. The caller holds the mutex.
+func (e *Elector) addOwnerAsPeer() {
+	if e.peers != nil {
+		e.getOrAddPeer(e.owner)
+	}
 }
 
 // loseOwnership ends the ownership. The caller holds the mutex, so OnOwnershipLost runs in its own goroutine, without the mutex.
@@ -325,11 +400,10 @@
 	return now.Sub(e.lastStoreContactAt)
 }
 
-// entries returns the addresses of all known entries, including this one. The caller holds the mutex.
-func (e *Elector) entries() []string {
-	all := []string{e.Address}
-	for address := range e.peers {
-		all = append(all, address)
+// random returns a random number from 0 to n-1.
+func (e *Elector) random(n int) int {
+	if e.Random != nil {
+		return e.Random(n)
 	}
-	return all
+	return rand.IntN(n)
 }
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -31,7 +32,7 @@
 	records      []storekeeper.Record
 	epoch        uint64
 	sequence     uint64
-	entries      []string
+	entries      map[string]storekeeper.EntryRecord
 	ownerEpochs  map[string]uint64
 	ownerHistory []string
 }
@@ -117,24 +118,31 @@
 	}
 }
 
-func (n node) RegisterEntry(ctx context.Context, entry string) error {
+func (n node) RegisterEntry(ctx context.Context, entry storekeeper.EntryRecord) error {
 	if !n.cluster.canReach(n.name, "store") {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	n.cluster.mutex.Lock()
 	defer n.cluster.mutex.Unlock()
-	n.cluster.entries = append(n.cluster.entries, entry)
+	n.cluster.entries[entry.Address] = entry
 	return nil
 }
 
-func (n node) Entries(context.Context) ([]string, error) {
+func (n node) RemoveEntry(_ context.Context, address string) error {
+	n.cluster.mutex.Lock()
+	defer n.cluster.mutex.Unlock()
+	delete(n.cluster.entries, address)
+	return nil
+}
+
+func (n node) Entries(context.Context) ([]storekeeper.EntryRecord, error) {
 	if !n.cluster.canReach(n.name, "store") {
 		return nil, errNoResponse
 	}
 	n.cluster.mutex.Lock()
 	defer n.cluster.mutex.Unlock()
-	return slices.Clone(n.cluster.entries), nil
+	return slices.Collect(maps.Values(n.cluster.entries)), nil
 }
 
 var _ = Describe("Elector", func() {
@@ -184,7 +192,7 @@
 	}
 	BeforeEach(func() {
 		c = &cluster{
-			electors: map[string]*elector.Elector{}, partitions: map[[2]string]bool{}, stopped: map[string]bool{}, ownerEpochs: map[string]uint64{},
+			electors: map[string]*elector.Elector{}, partitions: map[[2]string]bool{}, stopped: map[string]bool{}, ownerEpochs: map[string]uint64{}, entries: map[string]storekeeper.EntryRecord{},
 		}
 		stopFuncs, startCount = map[string]func(){}, 0
 		for _, name := range []string{"a", "b", "c"} {
@@ -301,6 +309,6 @@
 	It("reads from the store the addresses of entries that aren't seeds", func() {
 		awaitOwner()
 		start("d")
-		Eventually(func() []string { return c.electors["a"].Entries() }).WithTimeout(5 * time.Second).Should(ContainElement("d"))
+		Eventually(func() []string { contacts, _ := c.electors["a"].Contacts(); return contacts }).WithTimeout(5 * time.Second).Should(ContainElement("d"))
 	})
 })
--- a/internal/fleet/elector/lateclaim_test.go
+++ b/internal/fleet/elector/lateclaim_test.go
@@ -52,8 +52,9 @@
 	return nil, from, ctx.Err()
 }
 
-func (*lateStore) RegisterEntry(context.Context, string) error { return nil }
-func (*lateStore) Entries(context.Context) ([]string, error)   { return nil, nil }
+func (*lateStore) RegisterEntry(context.Context, storekeeper.EntryRecord) error { return nil }
+func (*lateStore) RemoveEntry(context.Context, string) error                    { return nil }
+func (*lateStore) Entries(context.Context) ([]storekeeper.EntryRecord, error)   { return nil, nil }
 
 func (*lateStore) Ping(context.Context, string, messenger.Ping) (messenger.Ping, bool, error) {
 	return messenger.Ping{}, true, errNoResponse
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -145,8 +145,10 @@
 		// process that the owner has recorded, so that it need not be reported again.
 		Incarnation      int64 `json:"life"`
 		RecordedSequence int64 `json:"recorded"`
-		// Entries are the addresses of all known entries.
-		Entries []string `json:"entries,omitempty"`
+		// Entries are the addresses of some entries, beginning with those that are likely to be the next owners. EntryCount is the number
+		// of all known entries.
+		Entries    []string `json:"entries,omitempty"`
+		EntryCount int      `json:"entry-count,omitempty"`
 	}
 
 	// Orders are the changes that the owner of an epoch requests from an agent process, which has the number Session. All of them refer to
@@ -223,18 +225,36 @@
 		// although Owner may still contain the sender's address.
 		IsOwner bool `json:"owning,omitempty"`
 		// StoreAge is the time since the store last responded to the sender, OwnerAge the time since the sender last heard from the
-		// owner. One hour stands for no contact. OwnerAge is 0 if the sender is the owner.
-		StoreAge time.Duration `json:"store-age"`
-		OwnerAge time.Duration `json:"owner-age"`
+		// owner, and OwnerKnownAge the time since any entry last heard from the owner, as far as the sender knows. One hour stands for no
+		// contact. OwnerAge and OwnerKnownAge are 0 if the sender is the owner.
+		StoreAge      time.Duration `json:"store-age"`
+		OwnerAge      time.Duration `json:"owner-age"`
+		OwnerKnownAge time.Duration `json:"owner-known-age"`
+		// Claiming is the epoch that the sender is claiming, or 0 if it isn't claiming any.
+		Claiming uint64 `json:"claiming,omitempty"`
 		// Version is the version of the sender's configuration.
 		Version int64 `json:"version"`
 		// Weight is the priority of the entry in the election of an owner. It increases with the entry's processor share and
 		// bandwidth.
 		Weight float64 `json:"weight"`
-		// Draining reports whether the sender is about to end and gives up the ownership.
+		// Draining reports whether the sender is about to end and gives up the ownership. Yielding reports that the sender, which is the
+		// owner, gives up the ownership to an entry with a higher weight.
 		Draining bool `json:"draining,omitempty"`
-		// Entries are the addresses of all entries that the sender knows.
-		Entries []string `json:"entries,omitempty"`
+		Yielding bool `json:"yielding,omitempty"`
+		// CongestionTime is the longest time for which congestion of the sender's link or processor may delay its messages.
+		CongestionTime time.Duration `json:"congestion-time,omitempty"`
+		// Peers are some of the entries that the sender knows to be live.
+		Peers []RelayedEntry `json:"peers,omitempty"`
+	}
+
+	// RelayedEntry is what the sender of a ping knows about another entry.
+	RelayedEntry struct {
+		Address string  `json:"address"`
+		Weight  float64 `json:"weight"`
+		// Age is the time since any entry last heard from this one, as far as the sender knows.
+		Age time.Duration `json:"age"`
+		// Available reports whether the entry could own the jobs: it has contact with the store and isn't draining.
+		Available bool `json:"available,omitempty"`
 	}
 
 	// JobRequest is a caller's request about batch jobs. The entry that receives it from the caller forwards it to the owner.
--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -48,6 +48,8 @@
 		Owner() (string, uint64)
 		// Relay returns the address of an entry that reaches the owner if this entry doesn't, or "".
 		Relay() string
+		// RecordOwnerCall records whether the entry at the address has responded as the owner.
+		RecordOwnerCall(address string, responded bool)
 		// StoreAge returns the time since the last contact of this entry with the store.
 		StoreAge() time.Duration
 	}
@@ -146,6 +148,9 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	response, sent, err := r.PeerClient.SendJobRequest(attemptCtx, target, method, request)
+	if !request.Relayed {
+		r.Ownership.RecordOwnerCall(target, err == nil && response.Outcome != messenger.OutcomeNotOwner)
+	}
 	if err != nil {
 		r.Log.Warn().Err(err).Str("method", method).Str("job", jobID(request)).Str("entry", target).Bool("sent", sent).
 			Msg("forwarding a job request failed")
--- a/internal/fleet/receptionist/receptionist_test.go
+++ b/internal/fleet/receptionist/receptionist_test.go
@@ -37,6 +37,9 @@
 func (o *fakeOwner) Owner() (string, uint64) { return o.owner, 1 }
 func (o *fakeOwner) Relay() string           { return o.relay }
 func (o *fakeOwner) StoreAge() time.Duration { return o.storeAge }
+func (o *fakeOwner) RecordOwnerCall(string, bool) {
+}
+
 func (o *fakeOwner) nextResult() callResult {
 	if len(o.results) == 0 {
 		return callResult{outcome: messenger.OutcomeDone}
--- a/internal/fleet/storekeeper/storekeeper.go
+++ b/internal/fleet/storekeeper/storekeeper.go
@@ -20,6 +20,15 @@
 	Records  []Record
 }
 
+// EntryRecord is what the store's list of entries contains about one entry.
+type EntryRecord struct {
+	Address string `json:"-"`
+	// Weight is the priority of the entry in the election of an owner. It is 0 in records without one.
+	Weight float64 `json:"weight,omitempty"`
+	// Epoch is the last epoch that the entry has owned, or 0 if it has owned none since it was started.
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
 // Errors of calls to the store. After any other error of an append it is unknown whether the batch was or will be appended. That also holds
 // for a batch that was sent several times, unless each of the appends has returned ErrNotAppended or ErrFenced.
 var (
