--- a/internal/fleet/elector/scale_test.go
+++ b/internal/fleet/elector/scale_test.go
@@ -42,6 +42,8 @@
 		epoch   uint64
 		// storeDownUntil is when the store answers again.
 		storeDownUntil time.Time
+		// responseDelay is how long a response of the store to a read is under way.
+		responseDelay time.Duration
 		// claims contains each epoch that was claimed, gains the time and address of each ownership that was gained.
 		claims map[uint64]struct{}
 		gains  []simGain
@@ -66,6 +68,8 @@
 		// running and silent report whether the process runs and whether its messages are lost.
 		running, silent bool
 		sent, received  int
+		// composedAt is when the store composed the last response to a read of this entry that has arrived.
+		composedAt time.Time
 	}
 
 	virtualClock struct{}
@@ -115,9 +119,13 @@
 }
 
 // contactStore reads the configuration from the store, as the subscriber of a process does.
-func (*simNode) contactStore(ctx context.Context, e *elector.Elector) {
+func (n *simNode) contactStore(ctx context.Context, e *elector.Elector) {
 	for ctx.Err() == nil {
-		e.RecordStoreContact()
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		if n.storeAvailable(callCtx, 0) {
+			e.RecordStoreContact()
+		}
+		cancel()
 		time.Sleep(time.Second)
 	}
 }
@@ -230,8 +238,27 @@
 		return nil, 0, ctx.Err()
 	}
 	n.cluster.mutex.Lock()
+	records := slices.Clone(n.cluster.records)
+	n.cluster.mutex.Unlock()
+	return records, int64(len(records)), n.awaitResponse(ctx)
+}
+
+// awaitResponse waits while a response that the store has just composed is under way.
+func (n *simNode) awaitResponse(ctx context.Context) error {
+	composedAt := time.Now()
+	n.cluster.mutex.Lock()
+	timer := time.NewTimer(n.cluster.responseDelay)
+	n.cluster.mutex.Unlock()
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+	}
+	n.cluster.mutex.Lock()
 	defer n.cluster.mutex.Unlock()
-	return slices.Clone(n.cluster.records), int64(len(n.cluster.records)), nil
+	n.composedAt = composedAt
+	return nil
 }
 
 func (n *simNode) Follow(ctx context.Context, from int64, wait time.Duration) ([]storekeeper.Record, int64, error) {
@@ -243,7 +270,7 @@
 			if !n.storeAvailable(ctx, 0) {
 				return nil, 0, ctx.Err()
 			}
-			return records, from + int64(len(records)), nil
+			return records, from + int64(len(records)), n.awaitResponse(ctx)
 		}
 	}
 }
