peer: a handler that panics ends its call and not the process

Calls between our processes run in goroutines of their own without a recover, so a panic in any handler ended the process.

Change: the call gets an error as its response, the panic is counted and logged with its stack.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"bamboohook/internal/peer"
 	"bamboohook/platform"
 )
 
@@ -142,6 +143,13 @@
 	}
 }
 
+// newPeerServer returns a server for calls from other processes, which logs unexpected failures of its handlers.
+func newPeerServer(logger zerolog.Logger) *peer.Server {
+	return &peer.Server{OnPanic: func(method string, value any, stack []byte) {
+		logger.Error().Str("method", method).Interface("panic", value).Bytes("stack", stack).Msg("handler of a call has failed unexpectedly")
+	}}
+}
+
 // serveHTTP serves HTTP requests on the listener until ctx is done. It then closes the listener and waits at most
 // shutdownTimeout for the requests in progress.
 func serveHTTP(ctx context.Context, h http.Handler, l net.Listener, shutdownTimeout time.Duration) error {
--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -13,7 +13,6 @@
 	"bamboohook/internal/fleet/caller"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/meter"
-	"bamboohook/internal/peer"
 	"bamboohook/platform"
 )
 
@@ -52,7 +51,7 @@
 			return addresses
 		},
 	}
-	orderServer := &peer.Server{}
+	orderServer := newPeerServer(logger)
 	orderServer.Handle(messenger.MethodOrders, func(_ context.Context, params json.RawMessage) (any, error) {
 		var o messenger.Orders
 		if err := json.Unmarshal(params, &o); err != nil {
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -190,7 +190,7 @@
 // entry that received it from the caller, and this entry executes it as the owner. A relayed request has come from an entry
 // that can't reach the owner, and this entry sends it on to the owner.
 func (e *platformEntry) peerServer() *peer.Server {
-	s := &peer.Server{}
+	s := newPeerServer(e.logger)
 	s.Handle(messenger.MethodPing, func(_ context.Context, params json.RawMessage) (any, error) {
 		var p messenger.Ping
 		if err := json.Unmarshal(params, &p); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -30,6 +30,7 @@
 		serverClock = recorder.New(recorder.Options{})
 		server := &peer.Server{HybridClock: serverClock}
 		server.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+		server.Handle("panic", func(context.Context, json.RawMessage) (any, error) { panic("unexpected") })
 		server.Handle("slow", func(_ context.Context, params json.RawMessage) (any, error) {
 			time.Sleep(200 * time.Millisecond)
 			return params, nil
@@ -90,6 +91,14 @@
 		Eventually(callErr).Should(Receive(BeNil()))
 	})
 
+	// Guards against a process that ends because of a single message.
+	It("responds with an error to a call whose handler panics, and goes on", func(ctx SpecContext) {
+		client := &peer.Client{Address: address}
+		defer client.Close()
+		Expect(client.Call(ctx, "panic", "text", nil)).To(MatchError(ContainSubstring("failed unexpectedly")))
+		Expect(client.Call(ctx, "echo", "text", nil)).To(Succeed())
+	})
+
 	// Guards against an invalid frame from one client that closes the connections of other clients.
 	It("counts a frame that is too large and closes only the connection on which it arrived", func(ctx SpecContext) {
 		client := &peer.Client{Address: address}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 		// HybridClock is the hybrid logical clock of the process. If it is nil, the timestamps of sent messages are zero,
 		// and those of received messages are ignored.
 		HybridClock HybridClock
+		// OnPanic is called after the handler of the method has panicked, with the value and the stack. The call then gets an error as its
+		// response, because a single message must not end the process. OnPanic may be nil.
+		OnPanic func(method string, value any, stack []byte)
 
 		handlers        map[string]Handler
 		mutex           sync.Mutex
@@ -55,8 +59,12 @@
 	}
 )
 
-// invalidFrames counts the received frames that are too large or malformed.
-var invalidFrames = expvar.NewInt("peer-malformed-frames")
+var (
+	// invalidFrames counts the received frames that are too large or malformed.
+	invalidFrames = expvar.NewInt("peer-malformed-frames")
+	// handlerPanics counts the calls whose handler has panicked.
+	handlerPanics = expvar.NewInt("peer-handler-panics")
+)
 
 // Handle registers the handler of a method. It must be called before Run.
 func (s *Server) Handle(method string, h Handler) {
@@ -120,13 +128,29 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "peer: parameters have no envelope"}
 	}
 	observeTimestamp(s.HybridClock, request.Timestamp)
-	result, err := h(ctx, request.Body)
+	result, err := s.handle(ctx, r.Method, h, request.Body)
 	if err != nil {
 		return nil, err
 	}
 	return newEnvelope(s.HybridClock, result)
 }
 
+// handle calls the handler. If the handler panics, it returns an error.
+func (s *Server) handle(ctx context.Context, method string, h Handler, params json.RawMessage) (result any, err error) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		handlerPanics.Add(1)
+		if s.OnPanic != nil {
+			s.OnPanic(method, value, debug.Stack())
+		}
+		result, err = nil, eris.Errorf("peer: the method %s has failed unexpectedly", method)
+	}()
+	return h(ctx, params)
+}
+
 // newEnvelope encodes a body and adds the current timestamp.
 func newEnvelope(clock HybridClock, body any) (envelope, error) {
 	encoded, err := json.Marshal(body)
