attendant, elector: a fake that waits by the clock, tests without races

Traced: the fake endpoint counted a wait of up to 500 ms as 500 sleeps of 1 ms, which take a second or more on a busy machine, so its answer came after the limit of the test; the agent is as fast as before. The wait ends by the clock now, as the test means it. The bound stays. The race detector also found reads without a lock in the new simulation.

--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -57,7 +57,7 @@
 }
 
 func (e *endpoint) List(ctx context.Context, q attendant.ListQuery) (attendant.Listing, error) {
-	for wait := q.MaxWait; ; wait -= time.Millisecond {
+	for end := time.Now().Add(q.MaxWait); ; {
 		e.mutex.Lock()
 		if e.notListening {
 			e.mutex.Unlock()
@@ -69,7 +69,7 @@
 		}
 		e.highestFencingToken = q.FencingToken
 		e.results = slices.DeleteFunc(e.results, func(r messenger.RunResult) bool { return r.Sequence <= q.RecordedSequence })
-		if len(e.results) > 0 || e.unreadableResults || wait <= 0 || ctx.Err() != nil {
+		if len(e.results) > 0 || e.unreadableResults || !time.Now().Before(end) || ctx.Err() != nil {
 			break
 		}
 		e.mutex.Unlock()
--- a/internal/fleet/elector/scale_test.go
+++ b/internal/fleet/elector/scale_test.go
@@ -321,11 +321,33 @@
 	return c.nodes[c.gains[len(c.gains)-1].address]
 }
 
+// history returns the ownerships that were gained so far.
+func (c *simCluster) history() []simGain {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.gains)
+}
+
+// epochs returns the number of epochs that were claimed.
+func (c *simCluster) epochs() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.claims)
+}
+
 // uninformed returns the number of running entries that do not know the last owner.
 func (c *simCluster) uninformed() int {
 	owner, count := c.owner(), 0
+	c.mutex.Lock()
+	var running []*elector.Elector
 	for _, n := range c.nodes {
-		if known, _ := n.elector.Owner(); n.running && known != owner.address {
+		if n.running {
+			running = append(running, n.elector)
+		}
+	}
+	c.mutex.Unlock()
+	for _, e := range running {
+		if known, _ := e.Owner(); known != owner.address {
 			count++
 		}
 	}
@@ -381,19 +403,19 @@
 				c.mutex.Unlock()
 				mean := float64(total) / float64(count) / measured.Seconds()
 				t.Logf("%d entries: %.1f pings sent by an entry per second, %d by or to one entry at most, %d claims", count, mean,
-					int(float64(most)/measured.Seconds()), len(c.claims))
+					int(float64(most)/measured.Seconds()), c.epochs())
 				if perSecond := float64(most) / measured.Seconds(); perSecond > maxPerSecond {
 					t.Errorf("an entry has sent or received %.0f pings per second", perSecond)
 				}
 				if count > 5 && mean > maxMeanPerSecond {
 					t.Errorf("the entries have sent %.1f pings per second each", mean)
 				}
-				if len(c.claims) != 1 || c.uninformed() > 0 {
-					t.Errorf("%d claims, and %d entries do not know the owner", len(c.claims), c.uninformed())
+				if c.epochs() != 1 || c.uninformed() > 0 {
+					t.Errorf("%d claims, and %d entries do not know the owner", c.epochs(), c.uninformed())
 				}
 				c.owner().kill()
 				killedAt := time.Now()
-				for len(c.gains) < 2 && time.Since(killedAt) < 10*time.Second {
+				for len(c.history()) < 2 && time.Since(killedAt) < 10*time.Second {
 					time.Sleep(10 * time.Millisecond)
 				}
 				takenOver := time.Since(killedAt)
@@ -433,14 +455,14 @@
 					owner.kill()
 					killedAt := time.Now()
 					time.Sleep(5 * time.Second)
-					last := c.gains[len(c.gains)-1]
-					if delay := last.at.Sub(killedAt); delay < 0 || delay > maxDelay {
-						t.Errorf("round %d: the next owner has taken over %v after the kill; %v", round, delay, c.gains)
+					gains := c.history()
+					if delay := gains[len(gains)-1].at.Sub(killedAt); delay < 0 || delay > maxDelay {
+						t.Errorf("round %d: the next owner has taken over %v after the kill; %v", round, delay, gains)
 					}
 					owner.start()
 				}
-				if len(c.claims) > 6 {
-					t.Errorf("%d epochs after 5 kills", len(c.claims))
+				if c.epochs() > 6 {
+					t.Errorf("%d epochs after 5 kills", c.epochs())
 				}
 				c.stopAll()
 				time.Sleep(5 * time.Second)
@@ -481,19 +503,20 @@
 						go n.transfer(context.Background(), nil, simConfigurationBytes)
 					}
 					time.Sleep(20 * time.Second)
-					if len(c.gains) == 0 {
+					gains := c.history()
+					if len(gains) == 0 {
 						t.Error("no entry has become the owner")
 						c.stopAll()
 						time.Sleep(10 * time.Second)
 						return
 					}
-					last := c.gains[len(c.gains)-1]
-					t.Logf("%s: the owner has taken over %v after the return of the store, %d epochs", name, last.at.Sub(returnedAt), len(c.claims))
+					last := gains[len(gains)-1]
+					t.Logf("%s: the owner has taken over %v after the return of the store, %d epochs", name, last.at.Sub(returnedAt), c.epochs())
 					if delay := last.at.Sub(returnedAt); delay > maxDelay {
 						t.Errorf("the owner has taken over %v after the return of the store", delay)
 					}
-					if len(c.claims) > maxEpochs {
-						t.Errorf("%d epochs", len(c.claims))
+					if c.epochs() > maxEpochs {
+						t.Errorf("%d epochs", c.epochs())
 					}
 					if !c.owner().elector.MayGrantLeases() {
 						t.Error("the owner may not grant leases")
@@ -531,8 +554,8 @@
 					}
 					time.Sleep(6 * time.Second)
 				}
-				if len(c.claims) != 1 {
-					t.Errorf("%d epochs", len(c.claims))
+				if c.epochs() != 1 {
+					t.Errorf("%d epochs", c.epochs())
 				}
 				c.stopAll()
 				time.Sleep(5 * time.Second)
