coordinator, attendant: the owner of a large fleet asks for rarer reports

The cost of its reports grew with the number of VMs.

Change: the owner asks for 2.5 ms times its VMs between two reports without results, at most 600 ms. Results are still reported at once. Fleets of up to 100 VMs report as before.

Measured: the two new tests (attendant, coordinator) pass; the fields they read did not exist before.

--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -65,6 +65,17 @@
 		})
 	}
 
+	// Guards against an owner whose processor time for reports grows with the number of VMs.
+	It("asks for rarer reports in a large fleet", func() {
+		for count, interval := range map[int]time.Duration{10: 25 * time.Millisecond, 160: 400 * time.Millisecond, 2700: 600 * time.Millisecond} {
+			c := newTestCluster(count)
+			for _, a := range c.agents {
+				c.sendReport(a)
+			}
+			Expect(c.sendReport(c.agents["vm-0"]).ReportInterval).To(Equal(interval))
+		}
+	})
+
 	// Guards against a result without a task that blocks the results after it.
 	It("records a result that cannot be read and the results after it", func() {
 		a := cluster.agents["vm-0"]
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -11,8 +11,16 @@
 	"bamboohook/internal/fleet/messenger"
 )
 
-// maxReportAge is the age of the last report above which no task starts on a VM. Agents send a report at least every half second.
-const maxReportAge = 1200 * time.Millisecond
+const (
+	// maxReportAge is the age of the last report above which no task starts on a VM. Agents send a report at least every half second, or after
+	// maxReportInterval if the fleet is large.
+	maxReportAge = 1200 * time.Millisecond
+	// reportSpacing is the mean time between two reports without results that the owner receives at most, so that its processor time for them
+	// does not grow with the number of VMs. Each VM must report once within maxReportInterval, which leaves time for a second report until the
+	// age of the first one reaches maxReportAge.
+	reportSpacing     = 2500 * time.Microsecond
+	maxReportInterval = 600 * time.Millisecond
+)
 
 // Report processes the report of an agent. The response says up to which sequence number run results are recorded, and whether the agent may
 // renew leases. The caller of Report must set the addresses of the owner and of all entries in the response.
@@ -34,6 +42,7 @@
 	}
 	response := messenger.ReportResponse{
 		Epoch: s.epoch, Session: v.session, Granted: granted, Incarnation: r.Incarnation, RecordedSequence: v.recordedSequenceFor(r.Incarnation),
+		ReportInterval: min(time.Duration(len(s.vms))*reportSpacing, maxReportInterval),
 	}
 	if r.Sequence <= v.reportSequence {
 		return response
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// reportInterval is the maximum time between two reports.
-	reportInterval = 400 * time.Millisecond
+	// reportInterval is the maximum time between two reports, unless the owner asks for a longer one of up to maxReportInterval.
+	reportInterval    = 400 * time.Millisecond
+	maxReportInterval = time.Second
 	// reportTimeout bounds the wait for the owner's response. After it the agent sends its next report to another entry.
 	reportTimeout = 600 * time.Millisecond
 	// surveyTimeout bounds the wait for the responses of all entries when the agent starts. An entry that is frozen or cut off delays the agent
@@ -127,7 +128,7 @@
 		target := a.reportTarget(failures)
 		if a.report(ctx, target) {
 			failures = 0
-			timer.Reset(reportInterval)
+			timer.Reset(max(reportInterval, a.requestedInterval()))
 			continue
 		}
 		failures++
@@ -139,6 +140,13 @@
 	}
 }
 
+// requestedInterval returns the shortest time between two reports without results that the owner has asked for.
+func (a *Attendant) requestedInterval() time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.ownerReportInterval
+}
+
 // surveyEntries sends a report to each known entry, or to maxSurveyed of them, and stores the owner with the highest epoch in the responses. A new
 // agent process knows no epoch. Without the survey it could obey a former owner that is not aware of its successor yet, although the previous
 // process had reported to the successor. If an entry may run but does not respond or was not asked, that entry may be the successor, and the agent
@@ -233,6 +241,7 @@
 		return false
 	}
 	a.updateSession(response, r)
+	a.ownerReportInterval = min(response.ReportInterval, maxReportInterval)
 	if response.Granted {
 		if until := sentAt.Add(a.LeaseDurations.Grant); until.After(a.grantedUntil) {
 			a.grantedUntil = until
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -439,6 +439,26 @@
 			ShouldNot(BeZero())
 	})
 
+	// Guards against the owner of a large fleet that has processor time for nothing but reports, and against results that wait for the next report.
+	It("reports measurements as rarely as the owner asks, but results at once", func() {
+		a.HandleOrders(ctx, orders(start(task, 1)))
+		o.mutex.Lock()
+		o.reportInterval = 900 * time.Millisecond
+		o.mutex.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		o.mutex.Lock()
+		o.reportCount = 0
+		o.mutex.Unlock()
+		time.Sleep(1800 * time.Millisecond)
+		o.mutex.Lock()
+		Expect(o.reportCount).To(BeNumerically("<=", 3))
+		o.mutex.Unlock()
+		e.mutex.Lock()
+		e.finish(task, messenger.RunDone)
+		e.mutex.Unlock()
+		Eventually(func() int { return len(o.report().Results) }).WithTimeout(400 * time.Millisecond).WithPolling(5 * time.Millisecond).Should(Equal(1))
+	})
+
 	// Guards against an agent that delays its report to a new owner because it waits for the list of entries in the store.
 	It("reports to a new owner at once while the list of entries cannot be read", func() {
 		o.mutex.Lock()
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -212,6 +212,8 @@
 		highestStopped map[string]int
 		// reportSequence is the sequence number of the last report.
 		reportSequence uint64
+		// ownerReportInterval is the shortest time between two reports without results that the owner has asked for.
+		ownerReportInterval time.Duration
 		// measurementsReportedAt is when a listing last caused a report, which contains the newest measurements of all runs.
 		measurementsReportedAt time.Time
 	}
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -145,6 +145,8 @@
 		// process that the owner has recorded, so that it need not be reported again.
 		Incarnation      int64 `json:"life"`
 		RecordedSequence int64 `json:"recorded"`
+		// ReportInterval is the shortest time between two reports that only contain new measurements, or no news. 0 leaves it to the agent.
+		ReportInterval time.Duration `json:"report-interval,omitempty"`
 		// Entries are the addresses of some entries, beginning with those that are likely to be the next owners. EntryCount is the number
 		// of all known entries.
 		Entries    []string `json:"entries,omitempty"`
