elector: entries that are gone leave the store's list

Cause: an entry stayed in the store's list for good, so after a restart each process used all addresses that ever existed (an operator of a similar system saw servers that had left in use again).

--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -143,7 +143,13 @@
 		e.logger.Warn().Err(err).Msg("callers' requests were aborted at shutdown")
 	}
 	stopWork()
-	return group.Wait()
+	err := group.Wait()
+	leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := e.elector.Leave(leaveCtx); err != nil {
+		e.logger.Warn().Err(err).Msg("cannot remove this entry from the store's list; the owner will do so")
+	}
+	return err
 }
 
 // congestionTime returns the longest time for which messages of the process may wait because of its link or its processors.
--- a/internal/fleet/elector/peers.go
+++ b/internal/fleet/elector/peers.go
@@ -242,6 +242,12 @@
 	return true
 }
 
+// Leave removes this entry from the store's list, so that processes that are started later don't use it. Call it when the process ends for good,
+// after Run has returned. It returns an error if the store failed; the owner then removes the entry after a minute of silence.
+func (e *Elector) Leave(ctx context.Context) error {
+	return e.Store.RemoveEntry(ctx, e.Address)
+}
+
 // register adds this entry to the list in the store if the list doesn't contain it yet, or not the epoch that it owns. The epoch tells entries that
 // are started later which one to claim.
 func (e *Elector) register(ctx context.Context) error {
--- a/internal/fleet/elector/scale_test.go
+++ b/internal/fleet/elector/scale_test.go
@@ -285,7 +285,10 @@
 	return nil
 }
 
-func (n *simNode) RemoveEntry(_ context.Context, address string) error {
+func (n *simNode) RemoveEntry(ctx context.Context, address string) error {
+	if !n.storeAvailable(ctx, 0) {
+		return ctx.Err()
+	}
 	n.cluster.mutex.Lock()
 	defer n.cluster.mutex.Unlock()
 	delete(n.cluster.entries, address)
@@ -563,3 +566,72 @@
 		})
 	}
 }
+
+// Guards against entries that were replaced and are still used by processes that are started later, and against a live entry that is missing in the
+// list because it was removed by mistake.
+func TestListOfEntriesContainsLiveOnes(t *testing.T) {
+	const (
+		forgotten   = 75 * time.Second
+		readingTime = 5 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := newSimCluster(t)
+		for range 12 {
+			c.add(1, 100)
+		}
+		for _, n := range c.nodes {
+			n.start()
+		}
+		time.Sleep(readingTime)
+		// Seeds are named by the settings, so an entry never forgets them.
+		seeds := slices.Sorted(maps.Keys(c.nodes))[:simSeeds]
+		gone := map[string]bool{}
+		for address, n := range c.nodes {
+			if len(gone) < 3 && n != c.owner() && !slices.Contains(seeds, address) {
+				gone[address] = true
+				n.kill()
+				c.mutex.Lock()
+				n.silent = true
+				c.mutex.Unlock()
+			}
+		}
+		time.Sleep(forgotten)
+		listed := func() map[string]storekeeper.EntryRecord {
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			return maps.Clone(c.entries)
+		}
+		for address := range listed() {
+			if gone[address] {
+				t.Errorf("%s is still listed", address)
+			}
+		}
+		if contacts, count := c.owner().elector.Contacts(); len(contacts) != 9 || count != 9 {
+			t.Errorf("the owner knows %d entries: %v", count, contacts)
+		}
+		if len(listed()) != 9 {
+			t.Errorf("%d entries are listed", len(listed()))
+		}
+		var removed *simNode
+		for address, n := range c.nodes {
+			if !gone[address] && n != c.owner() {
+				removed = n
+			}
+		}
+		c.mutex.Lock()
+		delete(c.entries, removed.address)
+		c.mutex.Unlock()
+		time.Sleep(readingTime)
+		if _, ok := listed()[removed.address]; !ok {
+			t.Error("the removed entry has not added itself again")
+		}
+		if err := removed.elector.Leave(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if _, ok := listed()[removed.address]; ok {
+			t.Error("the entry that has left is listed")
+		}
+		c.stopAll()
+		time.Sleep(5 * time.Second)
+	})
+}
