subscriber: test of a long transfer; a stopping entry keeps its grace period

Cause: the change of the subscriber had no test of its own, and the removal from the list came after the whole grace period of an entry, so that a slow store could have made the platform kill it.

Change: a test with a transfer of 2 s and another entry that is ahead; callers' requests leave 0.3 s for the removal. The counter of claims after which the election has not settled is named so.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -38,7 +38,7 @@
 	// period, after which the platform kills a process that has received SIGTERM. The servers for readiness checks, metrics and
 	// announcements also wait this long for their requests in progress.
 	shutdownMargin = 700 * time.Millisecond
-	// leaveTimeout bounds the removal of a stopped entry from the store's list. It is part of shutdownMargin.
+	// leaveTimeout bounds the removal of a stopped entry from the store's list. Callers' requests get that much less of the grace period.
 	leaveTimeout = 300 * time.Millisecond
 	// memoryLimitRatio is the share of the memory allowed by the platform that is set as the soft memory limit of the Go runtime.
 	// Near that limit, the runtime collects garbage more often.
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -128,7 +128,7 @@
 	group.Go(func() error { return serveHTTP(workCtx, e.meter, listeners[3], shutdownMargin) })
 	serveErr := make(chan error, 1)
 	go func() {
-		serveErr <- serveHTTP(servingCtx, callerServer.Handler(), listeners[0], e.settings.Grace-notReadyDuration-shutdownMargin)
+		serveErr <- serveHTTP(servingCtx, callerServer.Handler(), listeners[0], e.settings.Grace-notReadyDuration-shutdownMargin-leaveTimeout)
 	}()
 	select {
 	case <-workCtx.Done():
--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -62,7 +62,7 @@
 	if e.ownerHealthy(now) {
 		e.ownerSuspectedAt = time.Time{}
 		if now.Sub(e.epochObservedAt) > settledDuration {
-			e.vainClaims = 0
+			e.unsettledClaims = 0
 		}
 		return false
 	}
@@ -82,7 +82,7 @@
 
 // claimInterval returns the minimum time between two claims of this entry. The caller holds the mutex.
 func (e *Elector) claimInterval() time.Duration {
-	return minClaimInterval << min(max(e.vainClaims-1, 0), maxClaimIntervalDoublings)
+	return minClaimInterval << min(max(e.unsettledClaims-1, 0), maxClaimIntervalDoublings)
 }
 
 // claim appends a claim of the ownership to the store and reads the newest claim back. Only the claim that was read back decides who is the
@@ -92,12 +92,12 @@
 	e.mutex.Lock()
 	now := e.Clock.Now()
 	e.claimCount++
-	e.vainClaims++
+	e.unsettledClaims++
 	e.lastClaimAt = now
 	claim := ownerClaim{Epoch: e.epoch + 1, Address: e.Address, ClaimID: e.Generation + "-" + strconv.Itoa(e.claimCount)}
 	e.claiming = claim.Epoch
 	e.Log.Info().Uint64("epoch", claim.Epoch).Str("owner", e.owner).Dur("suspected", now.Sub(e.ownerSuspectedAt)).
-		Dur("store-age", e.storeAge(now)).Bool("council", e.inCouncil).Int("known", len(e.peers)).Int("vain-claims", e.vainClaims-1).
+		Dur("store-age", e.storeAge(now)).Bool("council", e.inCouncil).Int("known", len(e.peers)).Int("unsettled-claims", e.unsettledClaims-1).
 		Msg("claiming the ownership of the jobs")
 	e.requestProbes()
 	e.mutex.Unlock()
@@ -163,7 +163,7 @@
 			// The newest claim may be older than this process, so its owner is not given time to respond before this entry
 			// claims again.
 			e.epochObservedAt, e.lastClaimAt = time.Time{}, time.Time{}
-			e.vainClaims--
+			e.unsettledClaims--
 		}
 	}
 	e.mutex.Unlock()
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -145,11 +145,11 @@
 		ownerSuspectedAt time.Time
 		// resumedAt is when this process last ran again after a pause. What it has not heard before then shows nothing about others.
 		resumedAt time.Time
-		// lastClaimAt is when this process last claimed the ownership, and claimCount the number of its claims. vainClaims is the number of
+		// lastClaimAt is when this process last claimed the ownership, and claimCount the number of its claims. unsettledClaims is the number of
 		// its claims since an owner last stayed for settledDuration.
-		lastClaimAt time.Time
-		claimCount  int
-		vainClaims  int
+		lastClaimAt     time.Time
+		claimCount      int
+		unsettledClaims int
 		// storeOffset is the offset from which this entry, while it is the owner, reads the next records of the store.
 		storeOffset int64
 		// registered reports whether this entry is in the store's list of entries. registeredEpoch is the epoch in its record there.
--- a/internal/fleet/subscriber/subscriber_test.go
+++ b/internal/fleet/subscriber/subscriber_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,9 +23,11 @@
 	newestConfiguration *routetable.Configuration
 	peerConfiguration   *routetable.Configuration
 	offset              int64
-	err                 error
-	reads               int
-	recordsDeleted      bool
+	// transferTime is how long the response of the store with a new configuration takes.
+	transferTime   time.Duration
+	err            error
+	reads          int
+	recordsDeleted bool
 }
 
 func (s *source) update(change func()) {
@@ -41,9 +44,21 @@
 	return s.newestConfiguration, s.offset, s.err
 }
 
-func (s *source) FollowConfiguration(_ context.Context, offset int64, _ time.Duration) (*routetable.Configuration, int64, error) {
+func (s *source) FollowConfiguration(ctx context.Context, offset int64, _ time.Duration) (*routetable.Configuration, int64, error) {
 	time.Sleep(5 * time.Millisecond)
 	s.mutex.Lock()
+	transferTime, changed := s.transferTime, s.offset != offset
+	s.mutex.Unlock()
+	if changed && transferTime > 0 {
+		timer := time.NewTimer(transferTime)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return nil, offset, ctx.Err()
+		case <-timer.C:
+		}
+	}
+	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.recordsDeleted {
 		return nil, offset, storekeeper.ErrDeleted
@@ -60,6 +75,17 @@
 	return s.peerConfiguration, nil
 }
 
+// countingPeer counts the configurations that are fetched from another entry.
+type countingPeer struct {
+	source  *source
+	fetches atomic.Int64
+}
+
+func (p *countingPeer) FetchConfiguration(ctx context.Context, entry string) (*routetable.Configuration, error) {
+	p.fetches.Add(1)
+	return p.source.FetchConfiguration(ctx, entry)
+}
+
 var _ = Describe("Subscriber", func() {
 	var (
 		s        *source
@@ -112,6 +138,36 @@
 		Eventually(u.Version).Should(Equal(int64(9)))
 	})
 
+	// Guards against a thin link on which a large configuration never arrives, because its transfer is given up and begun anew, and because it is
+	// fetched from another entry at the same time.
+	It("waits for a transfer that takes long on a thin link, and does not fetch the same configuration from another entry", func() {
+		current, counting := s, &countingPeer{source: s}
+		thin := &subscriber.Subscriber{
+			Source: current, PeerClient: counting, Log: zerolog.Nop(), OnStoreResponse: func() {}, OnChange: func(*routetable.Configuration) {},
+			CongestionTime: 400 * time.Millisecond,
+			PeerWithNewerVersion: func(version int64) string {
+				current.mutex.Lock()
+				defer current.mutex.Unlock()
+				if current.peerConfiguration != nil && version < current.peerConfiguration.Version {
+					return "peer"
+				}
+				return ""
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = thin.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-ended })
+		publish(3)
+		Eventually(thin.Version).Should(Equal(int64(3)))
+		s.update(func() { s.transferTime = 2 * time.Second })
+		publish(8)
+		time.Sleep(1500 * time.Millisecond)
+		s.update(func() { s.peerConfiguration = &routetable.Configuration{Version: 8} })
+		Eventually(thin.Version).WithTimeout(1500 * time.Millisecond).Should(Equal(int64(8)))
+		Expect(counting.fetches.Load()).To(BeZero())
+	})
+
 	It("keeps its configuration while the store fails, and fetches a newer one from another entry", func() {
 		publish(3)
 		Eventually(u.Version).Should(Equal(int64(3)))
