caller, peer: a call without a response does not end the others on its connection

Cause: all calls of a method to one entry share a connection. When one of them reached its deadline, or its caller left, the connection was closed and all other calls in progress failed: their outcome was unknown (504), although the owner executed them.

Change: after a call without a response the connection is closed only if no other response has arrived on it since the call began; a call that its caller gives up never closes it.

--- a/internal/fleet/caller/caller.go
+++ b/internal/fleet/caller/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"sync"
 	"syscall"
+	"time"
 
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/routetable"
@@ -62,12 +63,14 @@
 }
 
 // call calls a method and decodes the response into result. After a failure it closes the connection, because a connection whose peer has
-// disappeared without closing it fails all later calls too.
+// disappeared without closing it fails all later calls too. It keeps the connection if the peer has responded to another call in the meantime, or if
+// the caller has given the call up.
 func (c *Client) call(ctx context.Context, address, method string, params, result any) error {
 	client := c.client(connectionKey{address, method})
+	startedAt := time.Now()
 	err := client.Call(ctx, method, params, result)
-	if err != nil && !errors.Is(err, peer.ErrNotSent) {
-		client.Close()
+	if err != nil && !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, context.Canceled) {
+		client.CloseIfSilent(startedAt)
 	}
 	return err
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -28,6 +28,8 @@
 
 	mutex sync.Mutex
 	conn  *jsonrpc2.Conn
+	// lastResponseAt is when a response last arrived.
+	lastResponseAt time.Time
 }
 
 // Call calls the method with params and decodes the response into result, which may be nil. If the client cannot connect,
@@ -42,7 +44,14 @@
 		return err
 	}
 	var response envelope
-	if err := conn.Call(ctx, method, request, &response); err != nil {
+	err = conn.Call(ctx, method, request, &response)
+	var remoteError *jsonrpc2.Error
+	if err == nil || errors.As(err, &remoteError) {
+		c.mutex.Lock()
+		c.lastResponseAt = time.Now()
+		c.mutex.Unlock()
+	}
+	if err != nil {
 		return eris.Wrapf(err, "peer: call of %s at %s failed", method, c.Address)
 	}
 	observeTimestamp(c.HybridClock, response.Timestamp)
@@ -62,6 +71,17 @@
 	}
 }
 
+// CloseIfSilent closes the connection like Close, unless a response has arrived after the given time. Use it after a call without a response: a server
+// that responds to other calls has not disappeared, and the other calls in progress would fail.
+func (c *Client) CloseIfSilent(since time.Time) {
+	c.mutex.Lock()
+	silent := !c.lastResponseAt.After(since)
+	c.mutex.Unlock()
+	if silent {
+		c.Close()
+	}
+}
+
 // connect returns the open connection. If there is none, it opens a new one.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
 	c.mutex.Lock()
