dispatcher: one task of a job that has waited long goes first

Jobs with the least work left go first, and small tasks fill all that becomes free, so a large task in a busy fleet waits without a bound.

Change: one task of the oldest job without any run that has waited for 15 s goes before all others. If it has room on no VM, the VM with the most room for it takes no other task that would fill it.

Measured: the test of the load (small tasks among large ones, best effort and plain) fails without the change, the large task never starts, and passes with it.

--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -61,6 +61,9 @@
 		// began.
 		vms      []*VM
 		mostFree map[string]resource.Amount
+		// held is the VM on which the current plan keeps room for a task of the step heldFor, or nil.
+		held    *VM
+		heldFor *bookkeeper.Step
 	}
 
 	// sortedStep is a step with waiting tasks and the criteria by which the steps are sorted.
@@ -89,8 +92,14 @@
 func (d *Dispatcher) Plan(now time.Time, steps []*bookkeeper.Step, queues map[string]Queue, vms []*VM) []Placement {
 	d.vms = vms
 	d.updateMostFree()
+	d.held, d.heldFor = nil, nil
+	sorted := sortSteps(now, steps, queues)
 	var placements []Placement
-	for _, c := range sortSteps(now, steps, queues) {
+	if s := starvingStep(now, sorted); s != nil {
+		placements = d.placeStarving(now, s, queues[s.Job.Queue].Service, vms)
+	}
+	placedFirst := len(placements)
+	for _, c := range sorted {
 		service := queues[c.step.Job.Queue].Service
 		if c.step.Gang {
 			placements = append(placements, d.placeGang(now, c.step, service, vms)...)
@@ -100,6 +109,9 @@
 		for _, t := range c.step.Tasks {
 			// The tasks of a step only differ in how long they have waited. The longer a task has waited, the more VMs are acceptable for it. So
 			// after a task for which there is no VM, only tasks that have waited longer are tried.
+			if placedFirst > 0 && t == placements[0].Task {
+				continue
+			}
 			if !t.IsWaiting() || !unplacedWaitingSince.IsZero() && !t.WaitingSince().Before(unplacedWaitingSince) {
 				continue
 			}
@@ -254,7 +266,7 @@
 	var best *VM
 	var bestScore score
 	for _, v := range vms {
-		if v.Service != service || rack != "" && v.Rack != rack || !v.hasRoomFor(t.Step) {
+		if v.Service != service || rack != "" && v.Rack != rack || d.isHeldAgainst(t.Step, v) || !v.hasRoomFor(t.Step) {
 			continue
 		}
 		if d.Excludes != nil && d.Excludes(t, v) {
--- a/internal/batch/dispatcher/overload_test.go
+++ b/internal/batch/dispatcher/overload_test.go
@@ -85,4 +85,65 @@
 		GinkgoWriter.Printf("on time: %d, on time without objectives: %d\n", totalOnTime, totalOnTimeWithoutObjective)
 		Expect(totalOnTime).To(BeNumerically(">", totalOnTimeWithoutObjective))
 	})
+
+	// Load pattern: small jobs keep a full fleet busy, and a job of large tasks waits. Each place that becomes free is too small for it and is taken
+	// by the next small task.
+	for name, c := range map[string]struct{ largeBestEffort, smallBestEffort bool }{
+		"best-effort tasks": {true, true}, "plain tasks": {false, false},
+	} {
+		It("starts a large task of a job that has waited long, among small "+name, func() {
+			const (
+				endsEach     = 100 * time.Millisecond
+				largeSize    = 20_000
+				smallSize    = 4_000
+				vmProcessors = 32_000
+			)
+			start := time.UnixMilli(1_000_000)
+			now := start
+			b, d := bookkeeper.New(), &dispatcher.Dispatcher{}
+			queues := map[string]dispatcher.Queue{"q": {Service: "s", Stretch: 2, Target: time.Second}}
+			var vms []*dispatcher.VM
+			for n := range 4 {
+				vms = append(vms, &dispatcher.VM{
+					Name: fmt.Sprint("vm-", n), Service: "s", Capacity: resource.Amount{MilliProcessors: vmProcessors, MemoryBytes: 1000}, Schedulable: true,
+				})
+			}
+			accept := func(id string, tasks int, processors int64, bestEffort bool) {
+				j := b.Accept(job.Job{ID: id, Queue: "q", Occurrences: 1, AcceptedAt: now, Steps: []job.Step{
+					{TaskCount: tasks, Size: resource.Amount{MilliProcessors: processors, MemoryBytes: 1}, Estimate: time.Second, BestEffort: bestEffort},
+				}})
+				b.OpenDueOccurrences(j, now)
+			}
+			var running []dispatcher.Placement
+			var largeStarts []time.Duration
+			plan := func() {
+				var steps []*bookkeeper.Step
+				b.VisitReadySteps(func(s *bookkeeper.Step) { steps = append(steps, s) })
+				for _, p := range d.Plan(now, steps, queues, vms) {
+					b.RunStarted(p.Task, 1)
+					if p.Task.Step.Job.ID == "large" {
+						largeStarts = append(largeStarts, now.Sub(start))
+						continue
+					}
+					running = append(running, p)
+				}
+			}
+			accept("first", 32, smallSize, c.smallBestEffort)
+			plan()
+			Expect(running).To(HaveLen(32))
+			accept("large", 6, largeSize, c.largeBestEffort)
+			for n := 0; now.Before(start.Add(30 * time.Second)); n++ {
+				now = now.Add(endsEach)
+				ended := running[0]
+				running = running[1:]
+				ended.VM.Remove(ended.Task)
+				b.TaskDone(ended.Task, now)
+				accept(fmt.Sprint("small", n), 2, smallSize, c.smallBestEffort)
+				plan()
+				Expect(len(running)).To(BeNumerically(">=", 22), "one of four VMs may be held")
+			}
+			Expect(largeStarts).NotTo(BeEmpty())
+			Expect(largeStarts[0]).To(BeNumerically("<", 20*time.Second))
+		})
+	}
 })
