--- a/test.sh
+++ b/test.sh
@@ -10,6 +10,14 @@
 packages=$(go list ${PACKAGES:-./...})
 others=$(echo "$packages" | grep -vx -e bamboohook/internal/owner -e bamboohook/tests/batch -e bamboohook/internal/batch/coordinator || true)
 failed=0
+# On arm64, the race detector itself crashes now and then in the simulations of internal/fleet/elector (SIGSEGV in __tsan::SlotLock, called from a
+# timer in a bubble of testing/synctest). There, and only there, these simulations run without it.
+if [[ " $* " == *" -race "* && "$(uname -m)" == aarch64 ]] && echo "$others" | grep -qx bamboohook/internal/fleet/elector; then
+  others=$(echo "$others" | grep -vx bamboohook/internal/fleet/elector || true)
+  echo "internal/fleet/elector: simulations without the race detector on arm64"
+  go test -count=1 -timeout 8m "$@" ./internal/fleet/elector -run '^TestElector$' || failed=1
+  go test -count=1 -timeout 8m ./internal/fleet/elector -skip '^TestElector$' || failed=1
+fi
 # shellcheck disable=SC2086
 [ -z "$others" ] || go test -count=1 -timeout 8m "$@" $others || failed=1
 if echo "$packages" | grep -qx bamboohook/tests/batch; then
