attendant: report as rarely as the owner asks

Cause: the timer of the report loop and the listings of the endpoint each kept their own time, so that a fleet of more than 100 VMs got about two reports in each interval. Change: measurements alone cause a report only if the last report of either cause was sent an interval ago. The test checks each distance as well.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -221,7 +221,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	a.mutex.Lock()
-	a.cancelReport = cancel
+	a.cancelReport, a.reportedAt = cancel, sentAt
 	a.mutex.Unlock()
 	response, err := a.Reporter.SendReport(callCtx, target, r)
 	a.Meter.Observe("report", a.Clock.Now().Sub(sentAt))
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -447,11 +447,14 @@
 		o.mutex.Unlock()
 		time.Sleep(500 * time.Millisecond)
 		o.mutex.Lock()
-		o.reportCount = 0
+		o.reportCount, o.sentMS = 0, nil
 		o.mutex.Unlock()
 		time.Sleep(1800 * time.Millisecond)
 		o.mutex.Lock()
 		Expect(o.reportCount).To(BeNumerically("<=", 3))
+		for i := 1; i < len(o.sentMS); i++ {
+			Expect(o.sentMS[i]-o.sentMS[i-1]).To(BeNumerically(">=", 899), "a report followed another one too early")
+		}
 		o.mutex.Unlock()
 		e.mutex.Lock()
 		e.finish(task, messenger.RunDone)
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -195,6 +195,8 @@
 	lastReport       messenger.Report
 	// reportCount counts the reports that the owner has received since a test has set it to 0.
 	reportCount int
+	// sentMS contains when the agent sent each received report, in milliseconds.
+	sentMS []int64
 	// reportInterval is the interval between reports that the owner asks for.
 	reportInterval time.Duration
 	// generation identifies the agent process that sent the last report, lastSession is its number.
@@ -232,6 +234,7 @@
 		o.reportsWithoutRuns++
 	}
 	o.reportCount++
+	o.sentMS = append(o.sentMS, r.SentMS)
 	return messenger.ReportResponse{
 		Owner: o.address, Epoch: o.epoch, Session: o.session(r), Granted: true, Incarnation: r.Incarnation, RecordedSequence: o.recordedSequence,
 		ReportInterval: o.reportInterval,
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -216,6 +216,8 @@
 		ownerReportInterval time.Duration
 		// measurementsReportedAt is when a listing last caused a report, which contains the newest measurements of all runs.
 		measurementsReportedAt time.Time
+		// reportedAt is when the last report to a possible owner was sent, whatever caused it.
+		reportedAt time.Time
 	}
 
 	// run is a run that occupies capacity of the endpoint or may do so.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -238,7 +238,9 @@
 		}
 	}
 	now := a.Clock.Now()
-	changed := len(newResults) > 0 || !a.listed || len(a.runs) > 0 && now.Sub(a.measurementsReportedAt) >= max(measurementReportInterval, a.ownerReportInterval)
+	// A report that the timer of reportLoop has sent contained the measurements as well.
+	newMeasurements := len(a.runs) > 0 && now.Sub(a.measurementsReportedAt) >= measurementReportInterval && now.Sub(a.reportedAt) >= a.ownerReportInterval
+	changed := len(newResults) > 0 || !a.listed || newMeasurements
 	if !a.listed {
 		a.Log.Info().Int64("life", l.Incarnation).Uint64("token", q.FencingToken).Int("runs", len(l.Runs)).Int("results", len(l.Results)).
 			Msg("first complete list of runs")
