attendant: a higher fencing token after each unanswered start

Cause: when the repetition of an unanswered start succeeded, later calls carried the token of the unanswered copy. An endpoint process that starts again under its ID and gets them first then still executes the copy, also after the task was done. Change: each attempt without an answer raises the token before the next call.

--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -451,17 +451,31 @@
 		o.mutex.Unlock()
 		time.Sleep(1800 * time.Millisecond)
 		o.mutex.Lock()
-		Expect(o.reportCount).To(BeNumerically("<=", 3))
-		for i := 1; i < len(o.sentMS); i++ {
-			Expect(o.sentMS[i]-o.sentMS[i-1]).To(BeNumerically(">=", 899), "a report followed another one too early")
-		}
+		count, sentMS := o.reportCount, o.sentMS
 		o.mutex.Unlock()
+		Expect(count).To(BeNumerically("<=", 3))
+		for i := 1; i < len(sentMS); i++ {
+			Expect(sentMS[i]-sentMS[i-1]).To(BeNumerically(">=", 899), "a report followed another one too early")
+		}
 		e.mutex.Lock()
 		e.finish(task, messenger.RunDone)
 		e.mutex.Unlock()
 		Eventually(func() int { return len(o.report().Results) }).WithTimeout(400 * time.Millisecond).WithPolling(5 * time.Millisecond).Should(Equal(1))
 	})
 
+	// Guards against a task that runs again after it is done: the next endpoint process has the same ID, and the late copy of an unanswered start
+	// reaches it before a call with a higher token does.
+	It("gives all calls after an unanswered start a higher token, also if a repetition has succeeded", func() {
+		e.mutex.Lock()
+		e.startsToDelay = 1
+		e.mutex.Unlock()
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		e.mutex.Lock()
+		highest, delayed := e.highestFencingToken, e.delayedStarts[0].FencingToken
+		e.mutex.Unlock()
+		Expect(highest).To(BeNumerically(">", delayed))
+	})
+
 	// Guards against an agent that delays its report to a new owner because it waits for the list of entries in the store.
 	It("reports to a new owner at once while the list of entries cannot be read", func() {
 		o.mutex.Lock()
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -125,9 +125,8 @@
 		a.removeRun(x)
 		outcome.Reason = err.Error()
 	default:
-		// The next list request carries a higher fencing token, which keeps the endpoint from executing the start later. Its
+		// The next list request carries a higher fencing token than all attempts, which keeps the endpoint from executing them later. Its
 		// response therefore shows whether the run exists.
-		a.raiseToken()
 		x.phase, x.decisiveToken = phaseUnknown, a.fencingToken
 		a.Log.Warn().Err(err).Str("task", s.Task).Int("run", s.Number).Uint64("token", a.fencingToken).Msg("outcome of the start is unknown")
 	}
@@ -227,13 +226,12 @@
 	startedAt := a.Clock.Now()
 	err := a.Endpoint.Start(callCtx, c)
 	a.Meter.Observe("start", a.Clock.Now().Sub(startedAt))
-	if errors.Is(err, ErrFenced) {
-		// Another call with a higher token has reached the endpoint in the meantime. The next attempt uses a higher token.
-		a.mutex.Lock()
-		if a.fencingToken == c.FencingToken {
-			a.raiseToken()
-		}
-		a.mutex.Unlock()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if err != nil && !isFinalRejection(err) && a.fencingToken == c.FencingToken {
+		// Either another call with a higher token has reached the endpoint in the meantime, or this call may be executed later. All later calls
+		// get a higher token. Then the endpoint process, or the next one, does not execute this call any more after it has received one of them.
+		a.raiseToken()
 	}
 	return err
 }
