attendant: keep the results of an endpoint process that was replaced unnoticed

Cause: a list request names the last recorded result, and the endpoint forgets the results up to it. Change: the request names a recorded result only if all starts had ended before the last listing was requested. Then a new process can have no results.

--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -476,6 +476,37 @@
 		Expect(highest).To(BeNumerically(">", delayed))
 	})
 
+	// Guards against a task that runs again although it is done: its result at a new endpoint process with the same ID is discarded as one of the
+	// previous process.
+	It("keeps the results of an endpoint process that has replaced another one with the same ID unnoticed", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		e.mutex.Lock()
+		e.finish(task, messenger.RunDone)
+		e.mutex.Unlock()
+		Eventually(func() []messenger.RunResult { return o.report().Results }).Should(HaveLen(1))
+		o.mutex.Lock()
+		o.recordedSequence = 1
+		o.mutex.Unlock()
+		Eventually(func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return len(e.results) }).Should(BeZero())
+		Eventually(func() []messenger.RunResult { return o.report().Results }).Should(BeEmpty())
+		release := make(chan struct{})
+		e.mutex.Lock()
+		e.listRelease, e.listComposed = release, false
+		e.mutex.Unlock()
+		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listComposed }).Should(BeTrue())
+		e.replace()
+		Expect(a.HandleOrders(ctx, orders(start("b.0.0.0", 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		o.mutex.Lock()
+		o.recordedSequence = 0
+		o.mutex.Unlock()
+		e.mutex.Lock()
+		e.finish("b.0.0.0", messenger.RunDone)
+		e.mutex.Unlock()
+		close(release)
+		Eventually(func() []messenger.RunResult { return o.report().Results }).WithTimeout(2 * time.Second).Should(HaveLen(1))
+		Expect(o.report().Results[0].Task).To(Equal("b.0.0.0"))
+	})
+
 	// Guards against an agent that delays its report to a new owner because it waits for the list of entries in the store.
 	It("reports to a new owner at once while the list of entries cannot be read", func() {
 		o.mutex.Lock()
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -188,6 +188,8 @@
 		decisiveToken uint64
 		// lastAppliedRequestAt is the time at which the agent sent the list request for the last applied listing.
 		lastAppliedRequestAt time.Time
+		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
+		lastStartEndedAt time.Time
 		// incarnation is the start time of the current endpoint process in Unix milliseconds, or 0 before its first response.
 		incarnation int64
 		// listed reports whether runs and pendingResults contain what the current endpoint process has listed in response to a list request with
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -228,6 +228,7 @@
 	a.Meter.Observe("start", a.Clock.Now().Sub(startedAt))
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.lastStartEndedAt = a.Clock.Now()
 	if err != nil && !isFinalRejection(err) && a.fencingToken == c.FencingToken {
 		// Either another call with a higher token has reached the endpoint in the meantime, or this call may be executed later. All later calls
 		// get a higher token. Then the endpoint process, or the next one, does not execute this call any more after it has received one of them.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -105,8 +105,12 @@
 	sentAt := a.Clock.Now()
 	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait}
 	if a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" {
-		// Another process numbers its results anew and must not discard any.
-		q.EndpointID, q.RecordedSequence = a.heartbeat.EndpointID, a.recordedSequence
+		q.EndpointID = a.heartbeat.EndpointID
+		// Another process numbers its results anew and must not discard any. It may have the same ID, but it has no results if all starts ended
+		// before the last listing was requested.
+		if a.lastStartEndedAt.Before(a.lastAppliedRequestAt) && !a.isStarting() {
+			q.RecordedSequence = a.recordedSequence
+		}
 	}
 	if a.listed && sentAt.Before(a.grantedUntil) {
 		q.DeadlineMS = a.leaseDeadlineMS(sentAt)
@@ -129,6 +133,16 @@
 	return true
 }
 
+// isStarting reports whether a call to start a run is in progress. The caller holds the mutex.
+func (a *Attendant) isStarting() bool {
+	for _, x := range a.runs {
+		if x.phase == phaseStarting {
+			return true
+		}
+	}
+	return false
+}
+
 // leaseDeadlineMS returns when a lease that begins now expires, in milliseconds on the endpoint's clock. The caller holds the mutex.
 func (a *Attendant) leaseDeadlineMS(now time.Time) int64 {
 	return a.endpointClockMS + now.Sub(a.endpointClockReadAt).Milliseconds() + a.LeaseDurations.Run.Milliseconds()
