peer, codec: bodies of calls are decoded only by their receivers

Change: net/rpc with frames of a small JSON header and a body that nobody but the receiver reads. A panic while a result is encoded ends only the call, too. Frames of earlier versions are not understood.

--- a/examples/capacity/heartbeat.go
+++ b/examples/capacity/heartbeat.go
@@ -100,30 +100,23 @@
 	return processorTimePerCall(max(1, 20_000/n), sendHeartbeats) / float64(n)
 }
 
-// decodeTime returns the processor time in microseconds of decoding a heartbeat as a server does: first the frame with
-// the JSON-RPC request, then the envelope with the timestamp, then the heartbeat.
+// decodeTime returns the processor time in microseconds of decoding a heartbeat as a server does: first the header of the frame with the
+// timestamp, then the heartbeat.
 func decodeTime(h message.Heartbeat) float64 {
-	type envelope struct {
-		Stamp recorder.Timestamp `json:"stamp"`
-		Body  json.RawMessage    `json:"body"`
-	}
-	type request struct {
-		Method  string          `json:"method"`
-		Params  json.RawMessage `json:"params"`
-		ID      uint64          `json:"id"`
-		Version string          `json:"jsonrpc"`
+	type header struct {
+		Sequence uint64             `json:"seq"`
+		Method   string             `json:"method"`
+		Stamp    recorder.Timestamp `json:"stamp"`
 	}
 	body, _ := json.Marshal(h)
-	params, _ := json.Marshal(envelope{recorder.Timestamp{Nanoseconds: 1_800_000_000_000_000_000}, body})
 	var frame bytes.Buffer
 	c := codec.Codec{}
-	_ = c.WriteObject(&frame, request{message.MethodHeartbeat, params, 7, "2.0"})
+	_ = c.WriteFrame(&frame, header{7, message.MethodHeartbeat, recorder.Timestamp{Nanoseconds: 1_800_000_000_000_000_000}}, body)
 	return processorTimePerCall(1000, func() {
-		var call request
-		var e envelope
+		var call header
 		var decoded message.Heartbeat
-		if c.ReadObject(bufio.NewReader(bytes.NewReader(frame.Bytes())), &call) != nil ||
-			json.Unmarshal(call.Params, &e) != nil || json.Unmarshal(e.Body, &decoded) != nil || decoded.VM != h.VM {
+		received, err := c.ReadFrame(bufio.NewReader(bytes.NewReader(frame.Bytes())), &call)
+		if err != nil || json.Unmarshal(received, &decoded) != nil || decoded.VM != h.VM {
 			panic("capacity: cannot decode an encoded heartbeat")
 		}
 	})
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -1,4 +1,4 @@
-// Package codec encodes and decodes JSON messages between processes as length-prefixed frames of limited size.
+// Package codec encodes and decodes messages between processes as length-prefixed frames of limited size.
 package codec
 
 import (
@@ -13,61 +13,78 @@
 const (
 	// DefaultMaxFrameBytes is the default value of Codec.MaxFrameBytes.
 	DefaultMaxFrameBytes = 8 << 20
-	// prefixBytes is the size of the length at the start of a frame.
-	prefixBytes = 4
+	// prefixBytes is the size of the length at the start of a frame, headerPrefixBytes that of the length of the header after it.
+	prefixBytes       = 4
+	headerPrefixBytes = 2
+	maxHeaderBytes    = 1<<16 - 1
 )
 
 var (
-	// ErrTooLarge reports a frame whose body is larger than Codec.MaxFrameBytes.
+	// ErrTooLarge reports a frame that is larger than Codec.MaxFrameBytes, or a header of 64 KiB or more.
 	ErrTooLarge = eris.New("codec: frame is larger than the limit")
-	// ErrMalformed reports a frame whose body is not valid JSON or does not match the type of the expected message.
+	// ErrMalformed reports a frame whose header is not valid JSON or does not match the type of the expected header.
 	ErrMalformed = eris.New("codec: frame is not a valid message")
 )
 
-// Codec reads and writes frames, which consist of a 4-byte big-endian length and a JSON body. It implements
-// jsonrpc2.ObjectCodec. It has no state, so it is safe for concurrent use on different streams.
+// Codec reads and writes frames. A frame consists of a 4-byte big-endian length of the rest, a 2-byte big-endian length of the header, a JSON header
+// and the body. The body is not interpreted, so that only its receiver decodes it, once and into the right type. Codec has no state, so it is safe for
+// concurrent use on different streams.
 type Codec struct {
-	// MaxFrameBytes limits the body of a frame; 0 means DefaultMaxFrameBytes.
+	// MaxFrameBytes limits the rest of a frame after the first length; 0 means DefaultMaxFrameBytes.
 	MaxFrameBytes int
-	// OnInvalidFrame is called for each received frame that is too large or malformed, with the error that ReadObject
+	// OnInvalidFrame is called for each received frame that is too large or malformed, with the error that ReadFrame
 	// returns. It may be nil.
 	OnInvalidFrame func(error)
 }
 
-// WriteObject writes v as one frame. If the body exceeds the size limit, it returns ErrTooLarge and writes nothing.
-func (c Codec) WriteObject(w io.Writer, v any) error {
-	body, err := json.Marshal(v)
+// WriteFrame writes the header and the body as one frame. If the frame exceeds the size limit, it returns ErrTooLarge and writes nothing.
+func (c Codec) WriteFrame(w io.Writer, header any, body []byte) error {
+	encoded, err := json.Marshal(header)
 	if err != nil {
-		return eris.Wrap(err, "codec: cannot encode the message")
+		return eris.Wrap(err, "codec: cannot encode the header")
 	}
-	if len(body) > c.maxFrameBytes() {
+	size := headerPrefixBytes + len(encoded) + len(body)
+	if size > c.maxFrameBytes() || len(encoded) > maxHeaderBytes {
 		return ErrTooLarge
 	}
-	frame := make([]byte, prefixBytes, prefixBytes+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	_, err = w.Write(append(frame, body...))
+	frame := make([]byte, 0, prefixBytes+size)
+	frame = binary.BigEndian.AppendUint32(frame, uint32(size))
+	frame = binary.BigEndian.AppendUint16(frame, uint16(len(encoded)))
+	frame = append(append(frame, encoded...), body...)
+	_, err = w.Write(frame)
 	return err
 }
 
-// ReadObject reads one frame and decodes its body into v. After ErrTooLarge or ErrMalformed, the stream must be closed.
+// ReadFrame reads one frame, decodes its header into header and returns its body. After ErrTooLarge or ErrMalformed, the stream must be closed.
 // At the end of the stream, the error is io.EOF, or io.ErrUnexpectedEOF if the frame is incomplete.
-func (c Codec) ReadObject(r *bufio.Reader, v any) error {
+func (c Codec) ReadFrame(r *bufio.Reader, header any) ([]byte, error) {
 	var lengthPrefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, lengthPrefix[:]); err != nil {
-		return err
+		return nil, err
 	}
 	size := binary.BigEndian.Uint32(lengthPrefix[:])
 	if int64(size) > int64(c.maxFrameBytes()) {
-		return c.reportInvalidFrame(ErrTooLarge)
+		return nil, c.reportInvalidFrame(ErrTooLarge)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return err
+	frame := make([]byte, size)
+	if _, err := io.ReadFull(r, frame); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
 	}
-	if err := json.Unmarshal(body, v); err != nil {
-		return c.reportInvalidFrame(eris.Wrap(ErrMalformed, err.Error()))
+	if len(frame) < headerPrefixBytes {
+		return nil, c.reportInvalidFrame(ErrMalformed)
 	}
-	return nil
+	headerBytes := int(binary.BigEndian.Uint16(frame))
+	rest := frame[headerPrefixBytes:]
+	if headerBytes > len(rest) {
+		return nil, c.reportInvalidFrame(ErrMalformed)
+	}
+	if err := json.Unmarshal(rest[:headerBytes], header); err != nil {
+		return nil, c.reportInvalidFrame(eris.Wrap(ErrMalformed, err.Error()))
+	}
+	return rest[headerBytes:], nil
 }
 
 func (c Codec) maxFrameBytes() int {
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -21,10 +21,13 @@
 		err           error
 		invalidFrames int
 	}{
-		"valid frame":            {"\x00\x00\x00\x02{}", nil, 0},
-		"length above the limit": {"\xff\xff\xff\xff{}", codec.ErrTooLarge, 1},
-		"invalid JSON":           {"\x00\x00\x00\x02{[", codec.ErrMalformed, 1},
-		"incomplete body":        {"\x00\x00\x00\x09{}", io.ErrUnexpectedEOF, 0},
+		"valid frame":            {"\x00\x00\x00\x08\x00\x02{}body", nil, 0},
+		"length above the limit": {"\xff\xff\xff\xff\x00\x02{}", codec.ErrTooLarge, 1},
+		"invalid JSON":           {"\x00\x00\x00\x04\x00\x02{[", codec.ErrMalformed, 1},
+		"no header":              {"\x00\x00\x00\x01\x00", codec.ErrMalformed, 1},
+		"header beyond the end":  {"\x00\x00\x00\x04\x00\x03{}", codec.ErrMalformed, 1},
+		"incomplete body":        {"\x00\x00\x00\x09\x00\x02{}", io.ErrUnexpectedEOF, 0},
+		"only a length":          {"\x00\x00\x00\x09", io.ErrUnexpectedEOF, 0},
 		"incomplete length":      {"\x00\x00", io.ErrUnexpectedEOF, 0},
 		"end of stream":          {"", io.EOF, 0},
 	} {
@@ -32,9 +35,10 @@
 			invalidFrames := 0
 			frameCodec := codec.Codec{MaxFrameBytes: 16, OnInvalidFrame: func(error) { invalidFrames++ }}
 			var v map[string]any
-			err := frameCodec.ReadObject(bufio.NewReader(strings.NewReader(c.frame)), &v)
+			body, err := frameCodec.ReadFrame(bufio.NewReader(strings.NewReader(c.frame)), &v)
 			if c.err == nil {
 				Expect(err).NotTo(HaveOccurred())
+				Expect(string(body)).To(Equal("body"))
 			} else {
 				Expect(err).To(MatchError(c.err))
 			}
@@ -44,19 +48,24 @@
 
 	It("writes nothing if the body exceeds the limit", func() {
 		var out bytes.Buffer
-		Expect(codec.Codec{MaxFrameBytes: 4}.WriteObject(&out, "too long")).To(MatchError(codec.ErrTooLarge))
+		Expect(codec.Codec{MaxFrameBytes: 8}.WriteFrame(&out, "too long", nil)).To(MatchError(codec.ErrTooLarge))
+		Expect(codec.Codec{MaxFrameBytes: 8}.WriteFrame(&out, 1, []byte("too long"))).To(MatchError(codec.ErrTooLarge))
+		Expect(codec.Codec{}.WriteFrame(&out, strings.Repeat("x", 1<<16), nil)).To(MatchError(codec.ErrTooLarge))
 		Expect(out.Len()).To(BeZero())
 	})
 })
 
-// FuzzReadObject checks that ReadObject does not panic for any input.
-func FuzzReadObject(f *testing.F) {
-	f.Add([]byte("\x00\x00\x00\x02{}"))
+// FuzzReadFrame checks that ReadFrame does not panic for any input.
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x04\x00\x02{}"))
 	f.Add([]byte("\x7f\xff\xff\xff{}"))
 	f.Fuzz(func(t *testing.T, frame []byte) {
 		var v map[string]any
 		reader := bufio.NewReader(bytes.NewReader(frame))
-		for (codec.Codec{MaxFrameBytes: 1 << 10}).ReadObject(reader, &v) == nil {
+		for {
+			if _, err := (codec.Codec{MaxFrameBytes: 1 << 10}).ReadFrame(reader, &v); err != nil {
+				break
+			}
 			t.Log("frame read")
 		}
 	})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"net/rpc"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 const dialTimeout = 2 * time.Second
@@ -27,7 +27,9 @@
 	HybridClock HybridClock
 
 	mutex sync.Mutex
-	conn  *jsonrpc2.Conn
+	// conn is the connection, or nil. ended is closed when it has ended.
+	conn  *rpc.Client
+	ended <-chan struct{}
 	// lastResponseAt is when a response last arrived.
 	lastResponseAt time.Time
 }
@@ -35,17 +37,23 @@
 // Call calls the method with params and decodes the response into result, which may be nil. If the client cannot connect,
 // Call returns ErrNotSent joined with the cause. After any other error of the call, the method may have run.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
-	request, err := newEnvelope(c.HybridClock, params)
+	body, err := json.Marshal(params)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "peer: cannot encode the parameters")
 	}
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
 	}
-	var response envelope
-	err = conn.Call(ctx, method, request, &response)
-	var remoteError *jsonrpc2.Error
+	request, response := message{method: method, timestamp: nextTimestamp(c.HybridClock), body: body}, message{}
+	call := conn.Go(serviceMethod, &request, &response, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-call.Done:
+		err = call.Error
+	}
+	var remoteError rpc.ServerError
 	if err == nil || errors.As(err, &remoteError) {
 		c.mutex.Lock()
 		c.lastResponseAt = time.Now()
@@ -54,11 +62,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "peer: call of %s at %s failed", method, c.Address)
 	}
-	observeTimestamp(c.HybridClock, response.Timestamp)
+	observeTimestamp(c.HybridClock, response.timestamp)
 	if result == nil {
 		return nil
 	}
-	return eris.Wrapf(json.Unmarshal(response.Body, result), "peer: cannot decode the response of %s at %s", method, c.Address)
+	return eris.Wrapf(json.Unmarshal(response.body, result), "peer: cannot decode the response of %s at %s", method, c.Address)
 }
 
 // Close closes the connection. A later call opens a new one.
@@ -83,12 +91,12 @@
 }
 
 // connect returns the open connection. If there is none, it opens a new one.
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.conn != nil {
 		select {
-		case <-c.conn.DisconnectNotify():
+		case <-c.ended:
 			c.conn = nil
 		default:
 			return c.conn, nil
@@ -99,10 +107,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, countingCodec())
-	handler := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "peer: this side answers no calls"}
-	})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(silentLogger{}))
+	codec := &clientWire{wire: newWire(conn), ended: make(chan struct{})}
+	c.conn, c.ended = rpc.NewClientWithCodec(codec), codec.ended
 	return c.conn, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,4 +1,4 @@
-// Package peer provides client and server for JSON-RPC 2.0 calls between processes over TCP.
+// Package peer provides client and server for calls between processes over TCP. Parameters and results are JSON.
 package peer
 
 import (
@@ -7,14 +7,13 @@
 	"errors"
 	"expvar"
 	"net"
+	"net/rpc"
 	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
 
-	"bamboohook/internal/codec"
 	"bamboohook/recorder"
 )
 
@@ -40,31 +39,17 @@
 
 		handlers        map[string]Handler
 		mutex           sync.Mutex
-		connections     map[*jsonrpc2.Conn]struct{}
+		connections     map[*serverWire]struct{}
 		closing         bool
 		callsInProgress sync.WaitGroup
 	}
 
-	// envelope is the content of a message: the parameters or the result of a call, and the sender's timestamp.
-	envelope struct {
-		Timestamp recorder.Timestamp `json:"stamp"`
-		Body      json.RawMessage    `json:"body,omitempty"`
-	}
-
-	// callHandler runs each call in a goroutine of its own and adds it to Server.callsInProgress, so that the server
-	// closes its connections only after all calls have ended.
-	callHandler struct {
-		server  *Server
-		handler jsonrpc2.Handler
-	}
+	// receiver is what package net/rpc calls.
+	receiver struct{ server *Server }
 )
 
-var (
-	// invalidFrames counts the received frames that are too large or malformed.
-	invalidFrames = expvar.NewInt("peer-malformed-frames")
-	// handlerPanics counts the calls whose handler has panicked.
-	handlerPanics = expvar.NewInt("peer-handler-panics")
-)
+// handlerPanics counts the calls whose handler has panicked.
+var handlerPanics = expvar.NewInt("peer-handler-panics")
 
 // Handle registers the handler of a method. It must be called before Run.
 func (s *Server) Handle(method string, h Handler) {
@@ -79,6 +64,10 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
+	calls := rpc.NewServer()
+	if err := calls.RegisterName("peer", receiver{s}); err != nil {
+		return eris.Wrap(err, "peer: cannot register the receiver of calls")
+	}
 	for {
 		conn, err := l.Accept()
 		if ctx.Err() != nil {
@@ -93,50 +82,51 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		s.addConnection(conn)
+		s.addConnection(calls, conn)
 	}
 }
 
 // addConnection starts to handle the calls on a connection and returns at once. The connection is removed from
 // Server.connections when it is closed.
-func (s *Server) addConnection(conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(conn, countingCodec())
-	handler := callHandler{server: s, handler: jsonrpc2.HandlerWithError(s.dispatch)}
+func (s *Server) addConnection(calls *rpc.Server, conn net.Conn) {
+	w := &serverWire{wire: newWire(conn), server: s, refused: map[uint64]struct{}{}, closed: make(chan struct{})}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	rpcConn := jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(silentLogger{}))
 	if s.connections == nil {
-		s.connections = map[*jsonrpc2.Conn]struct{}{}
+		s.connections = map[*serverWire]struct{}{}
 	}
-	s.connections[rpcConn] = struct{}{}
+	s.connections[w] = struct{}{}
+	go calls.ServeCodec(w)
 	go func() {
-		<-rpcConn.DisconnectNotify()
+		<-w.closed
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		delete(s.connections, rpcConn)
+		delete(s.connections, w)
 	}()
 }
 
-// dispatch passes the parameters of a call to the handler of its method and returns the handler's result.
-func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	h, ok := s.handlers[r.Method]
-	if !ok {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "peer: unknown method " + r.Method}
+// Call passes the parameters of a call to the handler of its method and stores the handler's result in response. It fails if the call has arrived
+// during a shutdown of the server. Each call runs in a goroutine of its own.
+func (r receiver) Call(request, response *message) error {
+	s := r.server
+	if request.refused {
+		return eris.New("peer: shutting down")
 	}
-	var request envelope
-	if r.Params == nil || json.Unmarshal(*r.Params, &request) != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "peer: parameters have no envelope"}
+	h, ok := s.handlers[request.method]
+	if !ok {
+		return eris.New("peer: unknown method " + request.method)
 	}
-	observeTimestamp(s.HybridClock, request.Timestamp)
-	result, err := s.handle(ctx, r.Method, h, request.Body)
+	observeTimestamp(s.HybridClock, request.timestamp)
+	body, err := s.handle(context.Background(), request.method, h, request.body)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return newEnvelope(s.HybridClock, result)
+	response.timestamp, response.body = nextTimestamp(s.HybridClock), body
+	return nil
 }
 
-// handle calls the handler. If the handler panics, it returns an error.
-func (s *Server) handle(ctx context.Context, method string, h Handler, params json.RawMessage) (result any, err error) {
+// handle calls the handler and returns the encoded result. If the handler panics, it returns an error.
+func (s *Server) handle(ctx context.Context, method string, h Handler, params json.RawMessage) (result []byte, err error) {
 	defer func() {
 		value := recover()
 		if value == nil {
@@ -148,20 +138,20 @@
 		}
 		result, err = nil, eris.Errorf("peer: the method %s has failed unexpectedly", method)
 	}()
-	return h(ctx, params)
-}
-
-// newEnvelope encodes a body and adds the current timestamp.
-func newEnvelope(clock HybridClock, body any) (envelope, error) {
-	encoded, err := json.Marshal(body)
+	value, err := h(ctx, params)
 	if err != nil {
-		return envelope{}, eris.Wrap(err, "peer: cannot encode")
+		return nil, err
 	}
-	e := envelope{Body: encoded}
-	if clock != nil {
-		e.Timestamp = clock.NextTimestamp()
+	result, err = json.Marshal(value)
+	return result, eris.Wrap(err, "peer: cannot encode the result")
+}
+
+// nextTimestamp returns the timestamp for a message that is sent now.
+func nextTimestamp(clock HybridClock) recorder.Timestamp {
+	if clock == nil {
+		return recorder.Timestamp{}
 	}
-	return e, nil
+	return clock.NextTimestamp()
 }
 
 func observeTimestamp(clock HybridClock, timestamp recorder.Timestamp) {
@@ -182,31 +172,3 @@
 		_ = c.Close()
 	}
 }
-
-// Handle implements jsonrpc2.Handler. During a shutdown of the server, it responds to new calls with an error.
-func (h callHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	h.server.mutex.Lock()
-	closing := h.server.closing
-	if !closing {
-		h.server.callsInProgress.Add(1)
-	}
-	h.server.mutex.Unlock()
-	if closing {
-		_ = conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "peer: shutting down"})
-		return
-	}
-	go func() {
-		defer h.server.callsInProgress.Done()
-		h.handler.Handle(ctx, conn, r)
-	}()
-}
-
-// countingCodec returns a codec that counts received frames that are too large or malformed in invalidFrames.
-func countingCodec() codec.Codec {
-	return codec.Codec{OnInvalidFrame: func(error) { invalidFrames.Add(1) }}
-}
-
-// silentLogger discards the log messages of package jsonrpc2. Invalid frames are counted in invalidFrames instead.
-type silentLogger struct{}
-
-func (silentLogger) Printf(string, ...any) {}
