--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,9 @@
 	publisher    *publisher.Publisher
 	// fetching is true while the configuration is fetched from another entry.
 	fetching atomic.Bool
+	// confirmed is true after this entry had the revision of another entry, or a newer one, and that entry had read the
+	// configuration stream to its end.
+	confirmed atomic.Bool
 
 	// mutex guards revision, the number of the last revision that was applied to the entry, and inventory, the
 	// VMs, services, teams, kinds and rules that the last valid revision declares.
@@ -153,12 +157,10 @@
 	return ok || len(inv.VMs) == 0
 }
 
-// ready reports whether the configuration is known. That is the case if a revision was applied, or if the
-// configuration stream was read to its end without finding one.
-func (c *configuration) ready() bool {
-	revision, _ := c.appliedRevision()
-	return revision > 0 || c.replayer.CaughtUp()
-}
+// ready reports whether the configuration is current. That is the case if the configuration stream was read to its end, or if
+// this entry has the revision of another entry that has done so. A revision that was applied before says nothing: it may come from an old
+// snapshot, which still contains rules and VMs that were withdrawn since, and the log may be unavailable after it.
+func (c *configuration) ready() bool { return c.replayer.CaughtUp() || c.confirmed.Load() }
 
 // fetchIfNewer fetches the configuration from the entry at the address and applies it, if revision, the one
 // that the entry has, is newer than the applied one. This keeps the configuration current while the log cannot
@@ -179,6 +181,14 @@
 	}
 }
 
+// followEntry fetches the configuration of another entry, from which the presence message p has arrived, if it is newer than the applied one.
+func (c *configuration) followEntry(p message.Presence) {
+	c.fetchIfNewer(p.Address, p.Revision)
+	if current, _ := c.appliedRevision(); current >= p.Revision && slices.Contains(p.CompleteStreams, configurationStream) {
+		c.confirmed.Store(true)
+	}
+}
+
 // handleConfiguration responds to another entry or an agent with the configuration of this entry. The response
 // has no sections if its revision is not newer than r.SinceRevision, and only the section of the VM if r.VM is
 // set: after each change all agents ask for the configuration, and copying all sections for each of them would
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -99,7 +99,7 @@
 		e.recordEvent("entry-seen", p.Entry, map[string]string{"address": p.Address})
 	}
 	// A slow fetch must not delay the response to this presence message or the next presence message.
-	go e.configuration.fetchIfNewer(p.Address, p.Revision)
+	go e.configuration.followEntry(p)
 }
 
 // liveEntries returns the last presence messages of the other entries that have sent one within entryTimeout.
