elector: the configuration of another entry is the newest one

Cause: while the store is away, an entry that has just started took the configuration of any live entry that had one. If that entry lagged behind, routes and keys that had been withdrawn were in use again until the next check. Change: PeerWithNewerVersion names the entry with the highest version.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -169,17 +169,18 @@
 	}
 )
 
-// PeerWithNewerVersion returns the address of a live entry that has a configuration with a higher version, or "" if there is none.
+// PeerWithNewerVersion returns the address of the live entry that has the configuration with the highest version above the given one, or "" if there
+// is none. An entry that has just started must not use what was withdrawn before, only because another entry has not heard of that.
 func (e *Elector) PeerWithNewerVersion(version int64) string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	now := e.Clock.Now()
+	now, newest := e.Clock.Now(), ""
 	for address, p := range e.peers {
 		if p.lastPing.Version > version && e.isLive(p, now) {
-			return address
+			version, newest = p.lastPing.Version, address
 		}
 	}
-	return ""
+	return newest
 }
 
 // Run takes part in the election until ctx is done.
--- /dev/null
+++ b/internal/fleet/elector/newest_test.go
@@ -0,0 +1,43 @@
+package elector_test
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"bamboohook/internal/boottimer"
+	"bamboohook/internal/fleet/elector"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/internal/fleet/storekeeper"
+)
+
+var _ = Describe("PeerWithNewerVersion", func() {
+	// Guards against an entry that starts while the store is away and uses routes or keys that were withdrawn, because it takes the configuration of
+	// an entry that lags behind.
+	It("names the entry with the newest configuration", func() {
+		e := &elector.Elector{
+			Address: "a", Generation: "g", Weight: 1, PeerClient: &lateStore{}, Store: &lateStore{}, Clock: boottimer.Clock{}, Log: zerolog.Nop(),
+			OnOwnershipGained: func(uint64, []storekeeper.Record) {}, OnOwnershipLost: func(uint64, string) {},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = e.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-ended })
+		versions := map[string]int64{"b": 5, "c": 8, "d": 6, "e": 3}
+		Eventually(func() string {
+			for address, version := range versions {
+				e.HandlePing(messenger.Ping{Address: address, Version: version})
+			}
+			return e.PeerWithNewerVersion(7)
+		}).Should(Equal("c"))
+		for range 30 {
+			for address, version := range versions {
+				e.HandlePing(messenger.Ping{Address: address, Version: version})
+			}
+			Expect(e.PeerWithNewerVersion(0)).To(Equal("c"))
+		}
+		Expect(e.PeerWithNewerVersion(8)).To(BeEmpty())
+	})
+})
