--- a/internal/batch/dispatcher/overload_test.go
+++ b/internal/batch/dispatcher/overload_test.go
@@ -147,10 +147,10 @@
 		})
 	}
 
-	// Load pattern: a burst in a full fleet, in which many jobs of a few kinds wait and no VM has room for any of them. Guards against an owner that
+	// Load pattern: a burst in a full fleet, in which many jobs of a few shapes wait and no VM has room for any of them. Guards against an owner that
 	// has processor time for nothing but its plans.
-	It("searches the VMs once for each kind of waiting task", func() {
-		const vmCount, jobCount, kinds = 60, 200, 2
+	It("searches the VMs once for each shape of waiting task", func() {
+		const vmCount, jobCount, shapes = 60, 200, 2
 		now := time.UnixMilli(1_000_000)
 		searched := 0
 		b, d := bookkeeper.New(), &dispatcher.Dispatcher{Excludes: func(*bookkeeper.Task, *dispatcher.VM) bool { searched++; return false }}
@@ -163,7 +163,7 @@
 		}
 		for n := range jobCount {
 			j := b.Accept(job.Job{ID: fmt.Sprint("job", n), Queue: "q", Occurrences: 1, AcceptedAt: now, Steps: []job.Step{
-				{TaskCount: 10, Size: resource.Amount{MilliProcessors: 2000 + int64(n%kinds), MemoryBytes: 1}, Estimate: time.Second, BestEffort: true},
+				{TaskCount: 10, Size: resource.Amount{MilliProcessors: 2000 + int64(n%shapes), MemoryBytes: 1}, Estimate: time.Second, BestEffort: true},
 			}})
 			b.OpenDueOccurrences(j, now)
 		}
@@ -171,6 +171,6 @@
 		b.VisitReadySteps(func(s *bookkeeper.Step) { steps = append(steps, s) })
 		Expect(steps).To(HaveLen(jobCount))
 		Expect(d.Plan(now, steps, queues, vms)).To(BeEmpty())
-		Expect(searched).To(BeNumerically("<=", vmCount*kinds))
+		Expect(searched).To(BeNumerically("<=", vmCount*shapes))
 	})
 })
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -60,7 +60,7 @@
 }
 
 // Run accepts connections on l until ctx is done. It then waits for the responses to the calls in progress, closes all
-// connections and returns nil. It returns an error only if l is closed before ctx is done.
+// connections and returns nil. It returns an error if l is closed before ctx is done.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,7 +1,6 @@
 // Package limiter limits the number of requests that run at the same time. Each running request holds a slot. Requests
-// are divided into kinds; each kind has a guaranteed share of the slots and a queue. Slots that a kind leaves idle are
-// lent to other kinds. They return to the kind when the requests that use them end. The waiting time and the length of
-// the queues are limited.
+// are divided into kinds; each kind has a guaranteed share of the slots and a queue. Other kinds may use
+// the slots that a kind leaves idle, until their requests end. The time in a queue and the length of the queue are limited.
 package limiter
 
 import (
@@ -69,9 +68,9 @@
 		// MaxQueueLength is the maximum number of requests in the queue of each kind; default 1,024. If it is negative,
 		// no request is queued.
 		MaxQueueLength int
-		// ReserveRatio is the fraction of its guaranteed share that a kind does not lend for one second after its last
-		// request; default 0.05. Its next request then need not wait until a request of another kind ends. If
-		// ReserveRatio is negative, a kind lends its whole share.
+		// ReserveRatio is the fraction of a kind's guaranteed share that other kinds may not use for one second after the
+		// kind's last request; default 0.05. The kind's next request then need not wait until a request of another kind
+		// ends. If ReserveRatio is negative, other kinds may use the whole share.
 		ReserveRatio float64
 	}
 
