elector: a refused connection does not show that an entry has not claimed the ownership

What callers could see: a task that runs twice. An owner that the store does not answer, and one other entry that it does not answer either, are cut from a third one by a partition that refuses connections. The third entry reaches the store, claims the ownership, waits until the leases of the VMs it does not reach have expired, and starts their tasks elsewhere. The former owner went on granting leases to those VMs.

Cause: MayGrantLeases took two refused connections within 1.3 s as proof that the process of the other entry does not run, and so cannot have claimed. A partition may refuse connections in place of a process.

Evidence: found by reading, then shown by the new test, which failed before the change (the former owner still granted 2 s after the claim of the other one).

Change: only an answer of an entry that it has no contact with the store counts. Price: an owner stops granting 2 s after the store went away if another entry was stopped during the outage, so runs lapse when such an outage lasts longer than about 8 s.

Ruled out: counting refusals that several entries report, since one partition causes all of them. Tests of the package pass with the change (44 s).

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -300,25 +300,19 @@
 	return now.Sub(e.ownerContactAt) < e.StoreContactTimeout || e.othersDisconnected(now)
 }
 
-// othersDisconnected reports whether every other entry that may run has told or shown recently that it cannot have claimed the ownership: it had
-// no contact with the store, or its process didn't run. A silent entry may have claimed it, unless it was already silent for long while this
-// entry had contact with the store. If no entry responds at all, this one may be cut off. The caller holds the mutex.
+// othersDisconnected reports whether every other entry that may run has told recently that it cannot have claimed the ownership, because it had no
+// contact with the store. A silent entry may have claimed it, unless it was already silent for long while this entry had contact with the store. So
+// may an entry that refuses connections, because a partition may refuse them in its place. The caller holds the mutex.
 func (e *Elector) othersDisconnected(now time.Time) bool {
-	confirmations, others := 0, 0
 	for _, p := range e.peers {
 		if e.lastStoreContactAt.Sub(p.lastSignOfLife()) > unreachableTimeout {
 			continue
 		}
-		others++
-		switch {
-		case now.Sub(p.refusedAt) < evidenceTimeout && p.refusedConnections >= maxRefusedConnections:
-		case now.Sub(p.answeredAt) < evidenceTimeout && p.answer.StoreAge >= maxStoreAge && p.answer.Epoch <= e.epoch:
-			confirmations++
-		default:
+		if now.Sub(p.answeredAt) >= evidenceTimeout || p.answer.StoreAge < maxStoreAge || p.answer.Epoch > e.epoch {
 			return false
 		}
 	}
-	return confirmations > 0 || others == 0
+	return true
 }
 
 // Drain announces to the other entries that this process is about to end, so that one of them claims the ownership.
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -22,12 +22,14 @@
 var errNoResponse = eris.New("no response")
 
 // cluster connects electors with each other and with a fake store. The keys of partitions are pairs of addresses that can't reach each
-// other, where "store" is the address of the store. epoch and sequence are those of the last appended batch. ownerEpochs contains the epoch
+// other, where "store" is the address of the store. refusals reports whether a connection attempt in a partition is refused instead of having no
+// response. epoch and sequence are those of the last appended batch. ownerEpochs contains the epoch
 // of each current owner, ownerHistory the address and the epoch of each ownership that was ever gained.
 type cluster struct {
 	mutex        sync.Mutex
 	electors     map[string]*elector.Elector
 	partitions   map[[2]string]bool
+	refusals     bool
 	stopped      map[string]bool
 	records      []storekeeper.Record
 	epoch        uint64
@@ -69,9 +71,9 @@
 
 func (n node) Ping(ctx context.Context, address string, p messenger.Ping) (messenger.Ping, bool, error) {
 	n.cluster.mutex.Lock()
-	stopped, other := n.cluster.stopped[address], n.cluster.electors[address]
+	stopped, other, refusals := n.cluster.stopped[address], n.cluster.electors[address], n.cluster.refusals
 	n.cluster.mutex.Unlock()
-	if stopped || other == nil {
+	if stopped || other == nil || refusals && !n.cluster.canReach(n.name, address) {
 		return messenger.Ping{}, true, errNoResponse
 	}
 	if !n.cluster.canReach(n.name, address) {
@@ -289,6 +291,24 @@
 		Eventually(c.electors[owner].MayGrantLeases).WithTimeout(2*time.Second).Should(BeFalse(), "an unreachable entry may have claimed the ownership")
 	})
 
+	// Guards against a task that runs twice under two owners: a partition refuses the connections to an entry that reaches the store and has claimed
+	// the ownership, and the former owner takes the refusals for the end of that entry.
+	It("does not let an owner without contact to the store grant leases because another entry refuses connections", func() {
+		owner := awaitOwner()
+		time.Sleep(500 * time.Millisecond)
+		rest := others(owner)
+		c.mutex.Lock()
+		c.refusals = true
+		c.mutex.Unlock()
+		for _, name := range []string{owner, rest[0]} {
+			c.setPartition(name, "store", true)
+			c.setPartition(name, rest[1], true)
+		}
+		Eventually(c.currentOwners).WithTimeout(5 * time.Second).Should(ContainElement(rest[1]))
+		Eventually(c.electors[owner].MayGrantLeases).WithTimeout(2 * time.Second).Should(BeFalse())
+		Consistently(c.electors[owner].MayGrantLeases).WithTimeout(3 * time.Second).Should(BeFalse())
+	})
+
 	It("keeps an owner that only one entry does not reach, and gives that entry the address of a relay", func() {
 		owner := awaitOwner()
 		time.Sleep(500 * time.Millisecond)
