bookkeeper: later runs and gang members do not show that nobody has started the next step

What callers could see: two runs of a task of the next step, after a change of the owner.

Cause: a new owner starts the tasks of a step before it knows all runs if it has found a run of a step before it, since that step then was not done for the previous owner. That holds for the first run of a task only. A later run may go on after a late result of an earlier run has completed the task for the previous owner, and a member of a gang after another member's result has completed the gang. The previous owner starts the next step at once, before the result is recorded.

Evidence: suspected in the postmortem of 2026-12-05 by reading, now shown: the two new tests failed before the change, each with two runs of a.0.1.0, one of them on a VM that did not respond after the takeover.

Runs that the new owner has ordered itself count as before.

Measured: both tests pass, with all others of internal/batch.

--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -61,9 +61,8 @@
 func (s *Step) Remaining() int { return s.remaining }
 
 // NotStartedByEarlierOwners reports whether the step certainly became ready under the current owner, so that no earlier owner can have
-// started its tasks. This is the case if the current owner has started or found a run of a task that the step depends on, because that
-// task was not done yet when the current owner took over, so the step was not ready before. Otherwise, it is unknown whether an earlier
-// owner has started tasks of the step.
+// started its tasks. This is the case if a task that the step depends on certainly was not done for any earlier owner, because the current owner
+// has started the task or found its first run. Otherwise, it is unknown whether an earlier owner has started tasks of the step.
 func (s *Step) NotStartedByEarlierOwners() bool { return s.notStartedByEarlierOwners }
 
 // RemainingWork returns the estimated work of all tasks that are not done, in all steps of the step's occurrence, in processor seconds.
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -86,8 +86,8 @@
 		// waiting reports whether the task waits for its next start, running whether a run of the task was started or found and has not ended.
 		waiting bool
 		running bool
-		// orderedOrFound reports whether RunOrdered was called for the task under the current owner.
-		orderedOrFound bool
+		// notDoneAtTakeover reports whether the task certainly was not done for any earlier owner.
+		notDoneAtTakeover bool
 		// waitingSince is when the task last began to wait for its start.
 		waitingSince time.Time
 	}
@@ -182,7 +182,7 @@
 		}
 		s.ready, s.readyAt = true, now
 		s.notStartedByEarlierOwners = slices.ContainsFunc(s.After, func(n int) bool {
-			return o.steps[n].notStartedByEarlierOwners || slices.ContainsFunc(o.steps[n].Tasks, (*Task).wasOrderedOrFound)
+			return o.steps[n].notStartedByEarlierOwners || slices.ContainsFunc(o.steps[n].Tasks, (*Task).wasNotDoneAtTakeover)
 		})
 		for _, t := range s.Tasks {
 			// An earlier owner may have started the task. The current owner may have found that run before it learned that the step is ready.
@@ -220,11 +220,24 @@
 	}
 }
 
-// RunOrdered records that the start of a run of the task was ordered, or that a run was found on a VM and has not ended. A run that was only
-// ordered may not exist, so the job has not started yet.
-func (b *Bookkeeper) RunOrdered(t *Task, number int) {
-	t.waiting, t.running, t.orderedOrFound = false, true, true
-	t.lastRunNumber = max(t.lastRunNumber, number)
+// RunOrdered records that the current owner has ordered the start of a run of the task. The run may not exist, so the job has not started yet.
+func (*Bookkeeper) RunOrdered(t *Task, number int) {
+	t.markRunning(number)
+	t.notDoneAtTakeover = true
+}
+
+// RunFound records that a run of the task that the current owner did not start has been found on a VM and has not ended. confirmed reports whether
+// the run certainly exists. Only the first run of a task that is not in a gang shows that no earlier owner has seen the task done: a task with a
+// later run may have been completed by a late result of an earlier one, and a gang by any of its members.
+func (*Bookkeeper) RunFound(t *Task, number int, confirmed bool) {
+	t.markRunning(number)
+	t.notDoneAtTakeover = t.notDoneAtTakeover || confirmed && number == 1 && !t.Step.Gang
+}
+
+// markRunning records that a run of the task with the number may exist.
+func (t *Task) markRunning(number int) {
+	t.waiting, t.running = false, true
+	t.SkipRunNumbersTo(number)
 }
 
 // RunStarted records that a run of the task has started.
@@ -322,7 +335,7 @@
 	return true
 }
 
-func (t *Task) wasOrderedOrFound() bool { return t.orderedOrFound }
+func (t *Task) wasNotDoneAtTakeover() bool { return t.notDoneAtTakeover }
 
 // endJob ends the job in the state. Its tasks no longer wait.
 func (b *Bookkeeper) endJob(j *Job, state string, now time.Time) {
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -320,3 +320,23 @@
 		}
 	}
 }
+
+// agentWith returns the agent whose endpoint runs the task.
+func (c *testCluster) agentWith(task string) *agent {
+	for _, a := range c.agents {
+		if _, ok := a.runs[task]; ok {
+			return a
+		}
+	}
+	panic("no VM runs task " + task)
+}
+
+// idleAgent returns an agent whose endpoint has no runs and which responds.
+func (c *testCluster) idleAgent() *agent {
+	for _, a := range c.agents {
+		if len(a.runs) == 0 && !a.silent {
+			return a
+		}
+	}
+	panic("no VM is idle")
+}
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -188,6 +188,47 @@
 		cluster.simulate(time.Second)
 		Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.1.0": 1}))
 	})
+	// The next two tests guard against a second run of a task: the previous owner has seen that a step is done from another run than the one that the
+	// new owner finds, and has started the next step on a VM that does not respond.
+	It("does not start a step after a gang that the previous owner may have seen done by a result of another member", func() {
+		gang := job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 2, Size: resource.Amount{MilliProcessors: 3000, MemoryBytes: 10}, Gang: true}, {TaskCount: 1, Size: size, After: []int{0}}}}
+		submit(gang)
+		cluster.simulate(200 * time.Millisecond)
+		cluster.journal.blocked = true
+		first, second, last := cluster.agentWith("a.0.0.0"), cluster.agentWith("a.0.0.1"), cluster.idleAgent()
+		first.state, second.state = messenger.VMDraining, messenger.VMDraining
+		cluster.simulate(400 * time.Millisecond)
+		first.finishRun("a.0.0.0", messenger.RunDone)
+		cluster.simulate(400 * time.Millisecond)
+		Expect(last.runs).To(HaveKey("a.0.1.0"))
+		last.silent, first.silent = true, true
+		first.state, second.state = messenger.VMUp, messenger.VMUp
+		cluster.takeOver()
+		cluster.simulate(400 * time.Millisecond)
+		first.silent = false
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.countRuns()).To(HaveKeyWithValue("a.0.1.0", 1))
+	})
+	It("does not start a step after a task that the previous owner may have seen done by an earlier run", func() {
+		submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}, {TaskCount: 1, Size: size, After: []int{0}}}})
+		cluster.simulate(200 * time.Millisecond)
+		first := cluster.agentWith("a.0.0.0")
+		first.finishRun("a.0.0.0", messenger.RunDone)
+		first.silent = true
+		cluster.simulate(8 * time.Second)
+		second, last := cluster.agentWith("a.0.0.0"), cluster.idleAgent()
+		cluster.journal.blocked = true
+		second.silent, first.silent, first.state = true, false, messenger.VMDraining
+		cluster.simulate(time.Second)
+		Expect(last.runs).To(HaveKey("a.0.1.0"))
+		last.silent, first.silent, second.silent = true, true, false
+		first.state = messenger.VMUp
+		cluster.takeOver()
+		cluster.simulate(400 * time.Millisecond)
+		second.finishRun("a.0.0.0", messenger.RunDone)
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.countRuns()).To(HaveKeyWithValue("a.0.1.0", 1))
+	})
 	// Guards against a grant that lets runs go on at a VM whose runs the new owner does not know, beyond the time after which it starts their
 	// tasks elsewhere.
 	It("lets an agent renew leases only after it has listed its runs, until all runs are known", func() {
