attendant: a refused connection does not show that an entry is not the owner

What callers could see: a task that runs twice. An agent is restarted while a partition refuses its connections to the owner, and a former owner, which may be unaware of its successor for 2 s, is reachable. If the successor has counted the VM as empty, because no endpoint listened there, the endpoint process that starts next knows no token of the successor, and the agent executes starts of the former owner there.

Cause: a new agent process asks all entries for the owner and refuses starts for 2 s if one does not respond, but took a refused connection as proof that no entry runs at the address. This is the same class of fault as in the elector: a refusal may come from a partition.

Change: any failure of the call counts. The fakes of the other tests now answer as an entry that knows no owner, instead of refusing connections.

Measured: the tests of the package pass (20 s).

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -149,8 +147,8 @@
 
 // surveyEntries sends a report to each known entry, or to maxSurveyed of them, and stores the owner with the highest epoch in the responses. A new
 // agent process knows no epoch. Without the survey it could obey a former owner that is not aware of its successor yet, although the previous
-// process had reported to the successor. If an entry may run but does not respond or was not asked, that entry may be the successor, and the agent
-// refuses starts until no former owner can be unaware of it.
+// process had reported to the successor. If an entry does not respond or was not asked, that entry may be the successor, and the agent refuses starts until no
+// former owner can be unaware of it.
 func (a *Attendant) surveyEntries(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
@@ -172,11 +170,8 @@
 				response, err := a.Reporter.SendReport(ctx, entry, r)
 				if err != nil {
 					a.Log.Info().Err(err).Str("entry", entry).Msg("entry has not told the new agent process of an owner")
-					if !errors.Is(err, syscall.ECONNREFUSED) {
-						a.mutex.Lock()
-						a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
-						a.mutex.Unlock()
-					}
+					// A partition may refuse the connection in place of the entry.
+					a.refuseStartsAtFirst()
 					return
 				}
 				a.mutex.Lock()
@@ -191,12 +186,17 @@
 		entries = slices.DeleteFunc(found, func(entry string) bool { _, ok := asked[entry]; return ok })
 	}
 	if len(entries) > 0 || entryCount > len(asked) {
-		a.mutex.Lock()
-		a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
-		a.mutex.Unlock()
+		a.refuseStartsAtFirst()
 	}
 }
 
+// refuseStartsAtFirst makes a new agent process refuse starts until no former owner can be unaware of its successor.
+func (a *Attendant) refuseStartsAtFirst() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
+}
+
 // reportTarget returns the address for the next report. It is that of the owner or, while no owner is known, that of each known entry in
 // turn. failures is the number of reports that have failed in a row.
 func (a *Attendant) reportTarget(failures int) string {
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -262,33 +262,40 @@
 		Expect(reports["former"]).To(Equal(1))
 	})
 
-	// Guards against a restarted agent that executes starts of a former owner, because the entry that has become the owner does not respond.
-	It("refuses starts for a limited time if an entry does not respond when the agent starts", func() {
-		stop()
-		o.mutex.Lock()
-		o.unresponsiveAddress, o.epoch, o.reportCount = "other", 4, 0
-		o.mutex.Unlock()
-		successor := &attendant.Attendant{
-			Address: "vm", Generation: "h", Endpoint: e, Reporter: o, Clock: boottimer.Clock{}, Log: zerolog.Nop(), LeaseDurations: a.LeaseDurations,
-			Seeds: []string{"other", "owner"},
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() { defer close(ended); _ = successor.Run(ctx) }()
-		DeferCleanup(func() { cancel(); <-ended })
-		successor.HandleHeartbeat(attendant.Heartbeat{
-			EndpointID: "e", Incarnation: e.incarnation, Sequence: time.Now().UnixNano(), Service: "s", Capacity: resource.Amount{MilliProcessors: 1000, MemoryBytes: 100},
+	// Guards against a restarted agent that executes starts of a former owner, because the entry that has become the owner does not respond, or because
+	// a partition refuses connections to that entry.
+	for name, fail := range map[string]func(o *reporter){
+		"does not respond":    func(o *reporter) { o.unresponsiveAddress = "other" },
+		"refuses connections": func(o *reporter) { o.refusingAddress = "other" },
+	} {
+		It("refuses starts for a limited time if an entry "+name+" when the agent starts", func() {
+			stop()
+			o.mutex.Lock()
+			fail(o)
+			o.epoch, o.reportCount = 4, 0
+			o.mutex.Unlock()
+			successor := &attendant.Attendant{
+				Address: "vm", Generation: "h", Endpoint: e, Reporter: o, Clock: boottimer.Clock{}, Log: zerolog.Nop(), LeaseDurations: a.LeaseDurations,
+				Seeds: []string{"other", "owner"},
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() { defer close(ended); _ = successor.Run(ctx) }()
+			DeferCleanup(func() { cancel(); <-ended })
+			successor.HandleHeartbeat(attendant.Heartbeat{
+				EndpointID: "e", Incarnation: e.incarnation, Sequence: time.Now().UnixNano(), Service: "s", Capacity: resource.Amount{MilliProcessors: 1000, MemoryBytes: 100},
+			})
+			Eventually(func() bool { r := o.report(); return r.Generation == "h" && r.Listed }).WithTimeout(2 * time.Second).Should(BeTrue())
+			Eventually(func() string { return successor.HandleOrders(ctx, orders(start(task, 1))).Reason }).Should(Equal(attendant.ReasonEntrySilent))
+			Expect(e.started).To(BeEmpty())
+			Eventually(func() []string {
+				successor.HandleOrders(ctx, orders(start(task, 1)))
+				e.mutex.Lock()
+				defer e.mutex.Unlock()
+				return e.started
+			}).WithTimeout(4 * time.Second).Should(HaveLen(1))
 		})
-		Eventually(func() bool { r := o.report(); return r.Generation == "h" && r.Listed }).WithTimeout(2 * time.Second).Should(BeTrue())
-		Eventually(func() string { return successor.HandleOrders(ctx, orders(start(task, 1))).Reason }).Should(Equal(attendant.ReasonEntrySilent))
-		Expect(e.started).To(BeEmpty())
-		Eventually(func() []string {
-			successor.HandleOrders(ctx, orders(start(task, 1)))
-			e.mutex.Lock()
-			defer e.mutex.Unlock()
-			return e.started
-		}).WithTimeout(4 * time.Second).Should(HaveLen(1))
-	})
+	}
 
 	// Guards against a restarted agent that counts its first list of runs as complete, although a start of its predecessor takes effect later.
 	It("lists the runs under a token that keeps delayed starts of earlier agent processes from taking effect", func() {
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -202,8 +202,10 @@
 	// generation identifies the agent process that sent the last report, lastSession is its number.
 	generation  string
 	lastSession uint64
-	// unresponsiveAddress is the address of an entry that never responds.
+	// unresponsiveAddress is the address of an entry that never responds, refusingAddress that of one whose connections are refused. All other
+	// entries know no owner.
 	unresponsiveAddress string
+	refusingAddress     string
 	// reportsWithoutRuns counts the received reports without runs since a test has set it to 0.
 	reportsWithoutRuns int
 }
@@ -226,8 +228,12 @@
 	if o.failsReports {
 		return messenger.ReportResponse{}, errNoResponse
 	}
-	if entry != o.address {
+	switch entry {
+	case o.address:
+	case o.refusingAddress:
 		return messenger.ReportResponse{}, syscall.ECONNREFUSED
+	default:
+		return messenger.ReportResponse{}, nil
 	}
 	o.lastReport = r
 	if len(r.Runs) == 0 {
