elector: entries that were down may have started again and claimed the ownership

What callers could see: a task that runs twice. The other entries are down for more than 10 s, the owner is then cut off from the store and from them, and they start again and claim. The owner went on granting leases without end to the agents that it still reached, while its successor gave those VMs up after 9 s and started their tasks elsewhere.

Cause: the owner took a silence of 10 s, while it had contact with the store, as proof that an entry has ended for good.

TestOwnerCutOffWhileOthersRestartGrantsNothing, "down for 15 s", failed before (grants 2.02 s after the cut); "down for 5 s" passed.

Change: only entries that were silent for the minute after which the owner removes them from the store's list don't count. Price: within that minute after the loss of an entry, an outage of the store of more than about 8.5 s lapses all runs.

Measured: the tests of cut-off owners pass. Left: an entry that the owner has never heard of, or has forgotten.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -38,8 +38,6 @@
 	// read.
 	followWait          = 500 * time.Millisecond
 	followTimeoutMargin = 800 * time.Millisecond
-	// unreachableTimeout is how long an entry must have been silent, while this one had contact with the store, to count as ended for good.
-	unreachableTimeout = 10 * time.Second
 	// evidenceTimeout is how long the response of an entry without contact to the store proves that it has not claimed the ownership. It is
 	// shorter than the time for which the next owner waits for grants of this one.
 	evidenceTimeout = 1300 * time.Millisecond
@@ -301,11 +299,12 @@
 }
 
 // othersDisconnected reports whether every other entry that may run has told recently that it cannot have claimed the ownership, because it had no
-// contact with the store. A silent entry may have claimed it, unless it was already silent for long while this entry had contact with the store. So
-// may an entry that refuses connections, because a partition may refuse them in its place. The caller holds the mutex.
+// contact with the store. A silent entry may have claimed it, also if it was down before and has started again since. So may an entry that refuses
+// connections, because a partition may refuse them in its place. Only entries that had been removed from the store's list while this one had contact
+// with the store don't count. The caller holds the mutex.
 func (e *Elector) othersDisconnected(now time.Time) bool {
 	for _, p := range e.peers {
-		if e.lastStoreContactAt.Sub(p.lastSignOfLife()) > unreachableTimeout {
+		if e.lastStoreContactAt.Sub(p.lastSignOfLife()) > forgottenTimeout {
 			continue
 		}
 		if now.Sub(p.answeredAt) >= evidenceTimeout || p.answer.StoreAge < maxStoreAge || p.answer.Epoch > e.epoch {
--- a/internal/fleet/elector/grant_test.go
+++ b/internal/fleet/elector/grant_test.go
@@ -92,3 +92,51 @@
 		})
 	}
 }
+
+// Guards against an owner that lets runs go on although another entry has claimed the ownership: the other entries were down
+// and start again while the owner is cut off from them and from the store.
+func TestOwnerCutOffWhileOthersRestartGrantsNothing(t *testing.T) {
+	for name, downtime := range map[string]time.Duration{"down for 5 s": 5 * time.Second, "down for 15 s": 15 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimCluster(t)
+				for range 3 {
+					c.add(1, 1000)
+				}
+				for _, n := range c.nodes {
+					n.start()
+				}
+				time.Sleep(8 * time.Second)
+				owner := c.owner()
+				for _, n := range c.nodes {
+					if n != owner {
+						n.kill()
+					}
+				}
+				time.Sleep(downtime)
+				c.mutex.Lock()
+				owner.silent = true
+				c.mutex.Unlock()
+				cutAt := time.Now()
+				for _, n := range c.nodes {
+					if n != owner {
+						n.start()
+					}
+				}
+				for time.Since(cutAt) < 20*time.Second {
+					time.Sleep(samplePeriod)
+					if owner.elector.MayGrantLeases() && time.Since(cutAt) > grantTime {
+						t.Errorf("the owner may grant leases %v after the cut", time.Since(cutAt))
+						break
+					}
+				}
+				time.Sleep(10 * time.Second)
+				if c.owner() == owner {
+					t.Error("no other entry has become the owner")
+				}
+				c.stopAll()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
