coordinator: an owner that may have a successor does not call a job missing

What callers could see: a cancellation answered with 410 although the job runs on, or an accepted job shown as missing. An owner that was frozen or is cut off from the store, and does not know of its successor yet, looked into its own jobs only.

Cause: Cancel and JobState answered NotFound as long as the entry counted as the owner, also without recent contact with the store.

Evidence: found by the review; "does not call a job missing while another entry may own the jobs" failed before.

Change: without the right to grant leases the answer is NotOwner, so that the entry that took the call asks the newest owner. Left: an owner that was frozen for less than the 2 s of that right.

Measured: the tests of the coordinator and the receptionist pass.

--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -167,7 +167,7 @@
 	}
 	j := c.state.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
-		return messenger.JobResponse{Outcome: messenger.OutcomeNotFound}
+		return c.missingJob()
 	}
 	return messenger.JobResponse{Outcome: messenger.OutcomeDone, State: j.VisibleState()}
 }
@@ -215,7 +215,7 @@
 	j := s.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
 		c.state.mutex.Unlock()
-		return messenger.JobResponse{Outcome: messenger.OutcomeNotFound}
+		return c.missingJob()
 	}
 	if s.jobs.Cancel(j, c.WallClock.Now()) {
 		c.Log.Info().Str("job", j.ID).Uint64("epoch", s.epoch).Msg("job cancelled")
@@ -235,3 +235,11 @@
 	c.Journal.Notify()
 	return pending.wait(ctx)
 }
+
+// missingJob responds to a request for an unknown job. A later owner may have accepted the job unless this entry certainly is the owner.
+func (c *Coordinator) missingJob() messenger.JobResponse {
+	if !c.MayGrantLeases() {
+		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, Reason: "another entry may own the jobs"}
+	}
+	return messenger.JobResponse{Outcome: messenger.OutcomeNotFound}
+}
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -229,6 +229,14 @@
 		cluster.simulate(2 * time.Second)
 		Expect(cluster.countRuns()).To(HaveKeyWithValue("a.0.1.0", 1))
 	})
+	// Guards against a cancelled job that runs on, and against an accepted job that is shown as missing: an owner that was frozen, or cut off from the
+	// store, may have a successor that has accepted the job. What it does not know shows nothing.
+	It("does not call a job missing while another entry may own the jobs", func() {
+		cluster.mayGrantLeases = false
+		ctx, request := context.Background(), messenger.JobRequest{ID: "b", Queue: "q"}
+		Expect(cluster.coordinator.Cancel(ctx, request).Outcome).NotTo(Equal(messenger.OutcomeNotFound))
+		Expect(cluster.coordinator.JobState(ctx, request).Outcome).NotTo(Equal(messenger.OutcomeNotFound))
+	})
 	// Guards against a grant that lets runs go on at a VM whose runs the new owner does not know, beyond the time after which it starts their
 	// tasks elsewhere.
 	It("lets an agent renew leases only after it has listed its runs, until all runs are known", func() {
