committer: the answer to a repeated append counts from the first copy

What callers could see: a task that runs twice. The store answers the repeat of an append with its first response.

Cause: the contact with the store counted from the sending of the copy that was answered.

Change: contact counts from the sending of the first copy, which can only be earlier.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -220,6 +220,8 @@
 func (c *Committer) commit(ctx context.Context, batch storekeeper.Batch, writes []Write) {
 	// certainlyNotAppended is true as long as no attempt can have appended the batch.
 	certainlyNotAppended := true
+	// A repeat gets the response to the first copy of the append, which may have been executed before another entry claimed the ownership.
+	firstSentAt := c.Clock.Now()
 	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		c.recordAttempt()
 		// Writes that are queued during a slow append have not been sent, so the FailFast writes among them can fail with
@@ -235,7 +237,7 @@
 		case err == nil:
 			c.recordSuccess(batch)
 			if c.OnAppended != nil {
-				c.OnAppended(batch.Epoch, startedAt)
+				c.OnAppended(batch.Epoch, firstSentAt)
 			}
 			completeWrites(writes, nil)
 			return
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -181,4 +181,22 @@
 		endEpoch()
 		Eventually(queued).Should(Receive(MatchError(storekeeper.ErrFenced)))
 	})
+
+	// Guards against an owner that lets runs go on although another entry has claimed the ownership: the store answers the repeat of an append that it
+	// executed before that claim with its first response.
+	It("reports an append that was repeated as sent when its first copy was", func() {
+		sent := make(chan time.Time, 1)
+		c.OnAppended = func(_ uint64, sentAt time.Time) { sent <- sentAt }
+		s.errors = []error{errNoResponse, errNoResponse, errNoResponse}
+		s.release = make(chan struct{})
+		done := appendWrite("a", false)
+		Eventually(s.attempts).Should(HaveLen(1))
+		firstSentBefore := boottimer.Clock{}.Now()
+		close(s.release)
+		Eventually(done).WithTimeout(3 * time.Second).Should(Receive(BeNil()))
+		Expect(s.attempts()).To(HaveLen(4))
+		var sentAt time.Time
+		Expect(sent).To(Receive(&sentAt))
+		Expect(firstSentBefore.Sub(sentAt)).To(BeNumerically(">=", 0), "a later copy shows nothing about the time when it was sent")
+	})
 })
