committer: queued writes stay in the queue while FailFast writes are failed

What callers could see: a task that runs twice or state that goes back, after an entry has lost the ownership and gained it again. Records of its earlier epoch were appended in the later one, behind newer records.

Cause: while the store failed, the queue was emptied, the FailFast writes in it were completed, and the others were put back. If the epoch ended in between, they were not completed with it and waited for the next epoch.

Change: the queue is split while it is locked.

--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -247,7 +247,7 @@
 			return
 		case errors.Is(err, storekeeper.ErrNotAppended):
 			if certainlyNotAppended {
-				writes = c.failFailFastWrites(writes)
+				writes = failFailFastWrites(writes)
 				batch.Records = nil
 				for _, w := range writes {
 					batch.Records = append(batch.Records, w.Records...)
@@ -280,16 +280,22 @@
 }
 
 // failFailFastWrites fails the FailFast writes with storekeeper.ErrNotAppended and returns the others.
-func (*Committer) failFailFastWrites(writes []Write) []Write {
-	var kept []Write
+func failFailFastWrites(writes []Write) []Write {
+	kept, failed := splitFailFast(writes)
+	completeWrites(failed, storekeeper.ErrNotAppended)
+	return kept
+}
+
+// splitFailFast returns the writes that are not FailFast and those that are.
+func splitFailFast(writes []Write) (others, failFast []Write) {
 	for _, w := range writes {
 		if w.FailFast {
-			w.Done(storekeeper.ErrNotAppended)
+			failFast = append(failFast, w)
 			continue
 		}
-		kept = append(kept, w)
+		others = append(others, w)
 	}
-	return kept
+	return others, failFast
 }
 
 func (c *Committer) recordSuccess(batch storekeeper.Batch) {
@@ -318,13 +324,10 @@
 // failQueuedFailFastWrites fails the FailFast writes in the queue, none of which has been sent to the store.
 func (c *Committer) failQueuedFailFastWrites() {
 	c.mutex.Lock()
-	queue := c.queue
-	c.queue = nil
+	var failed []Write
+	c.queue, failed = splitFailFast(c.queue)
 	c.mutex.Unlock()
-	kept := c.failFailFastWrites(queue)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.queue = append(kept, c.queue...)
+	completeWrites(failed, storekeeper.ErrNotAppended)
 }
 
 func (c *Committer) isCurrentEpoch(epoch uint64) bool {
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -199,4 +199,23 @@
 		Expect(sent).To(Receive(&sentAt))
 		Expect(firstSentBefore.Sub(sentAt)).To(BeNumerically(">=", 0), "a later copy shows nothing about the time when it was sent")
 	})
+
+	// Guards against records of an earlier epoch that replace newer ones of the next owner: the epoch ends while queued FailFast writes are failed, so
+	// the other queued writes return to the queue after it was emptied, and this entry becomes the owner again later.
+	It("does not append a write of an epoch that ends while queued FailFast writes are failed", func() {
+		s.release = make(chan struct{})
+		appendWrite("a", false)
+		Eventually(s.attempts).Should(HaveLen(1))
+		c.Append(committer.Write{FailFast: true, Records: []storekeeper.Record{{Key: "b", Value: []byte("v")}}, Done: func(error) { c.EndEpoch(7) }})
+		outdated := appendWrite("outdated", false)
+		Eventually(outdated).WithTimeout(2 * time.Second).Should(Receive(MatchError(storekeeper.ErrFenced)))
+		close(s.release)
+		c.BeginEpoch(9, 1)
+		Eventually(appendWrite("c", false)).WithTimeout(2 * time.Second).Should(Receive(BeNil()))
+		for _, b := range s.attempts() {
+			for _, r := range b.Records {
+				Expect(r.Key == "outdated" && b.Epoch == 9).To(BeFalse())
+			}
+		}
+	})
 })
