coordinator: a found run of a task that had several owners is not certainly its first

What callers could see: two runs of a task of the next step. An owner that does not know of an earlier run of a task, on a VM that it gave up, numbers its own run 1 as well. If the late result of the earlier run then completes the task and that owner ends before it has recorded this, the next owner took the run that it found, with the number 1, for the only one, and started the next step again.

Cause: the store holds no number of a run that was only started, so numbers identify runs only while a job has had one owner.

Change: the record of a job holds the epoch in which it was accepted. A found run counts only if that was the previous epoch. Records of earlier versions have no epoch and never count, so their next steps wait until all runs are known.

Ruled out: to count no found runs, which makes every takeover wait for silent VMs (an existing test demands otherwise).

--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -226,12 +226,12 @@
 	t.notDoneAtTakeover = true
 }
 
-// RunFound records that a run of the task that the current owner did not start has been found on a VM and has not ended. confirmed reports whether
-// the run certainly exists. Only the first run of a task that is not in a gang shows that no earlier owner has seen the task done: a task with a
-// later run may have been completed by a late result of an earlier one, and a gang by any of its members.
-func (*Bookkeeper) RunFound(t *Task, number int, confirmed bool) {
+// RunFound records that a run of the task that the current owner did not start has been found on a VM and has not ended. identified reports whether
+// the run certainly exists and no other run of the task can have its number. Only the first run of a task that is not in a gang shows that no earlier
+// owner has seen the task done: a task with a later run may have been completed by a late result of an earlier one, and a gang by any of its members.
+func (*Bookkeeper) RunFound(t *Task, number int, identified bool) {
 	t.markRunning(number)
-	t.notDoneAtTakeover = t.notDoneAtTakeover || confirmed && number == 1 && !t.Step.Gang
+	t.notDoneAtTakeover = t.notDoneAtTakeover || identified && number == 1 && !t.Step.Gang
 }
 
 // markRunning records that a run of the task with the number may exist.
--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -53,8 +53,9 @@
 	pending := &pendingResponse{done: make(chan struct{})}
 	s.pendingSubmissions[request.Job.ID] = pending
 	request.Job.Queue, request.Job.AcceptedAt = request.Queue, c.WallClock.Now()
+	epoch := s.epoch
 	c.state.mutex.Unlock()
-	record, err := json.Marshal(jobRecord{request.Job, queue})
+	record, err := json.Marshal(jobRecord{request.Job, queue, epoch})
 	if err != nil {
 		panic("coordinator: cannot encode a job: " + err.Error())
 	}
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -49,6 +49,8 @@
 		runsKnown bool
 		// restoredJobs holds the jobs that were accepted before this entry last became the owner.
 		restoredJobs map[*bookkeeper.Job]struct{}
+		// predecessorsJobs holds the restored jobs that the previous owner has accepted. They had no other owner, so the number of a run identifies it.
+		predecessorsJobs map[*bookkeeper.Job]struct{}
 
 		jobs *bookkeeper.Bookkeeper
 		// queues holds the current configuration of each queue by the queue's name, configurationVersion is the version of the
@@ -120,7 +122,7 @@
 	s.vms, s.runs, s.restoredJobs = map[string]*vm{}, map[*bookkeeper.Task]*run{}, map[*bookkeeper.Job]struct{}{}
 	s.pendingSubmissions, s.changedJobs = map[string]*pendingResponse{}, map[*bookkeeper.Job]struct{}{}
 	s.unrecordedResults, s.recordWaiters, s.removedJobs = nil, nil, nil
-	s.changedVMs = map[string]struct{}{}
+	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
 	progress := map[string][]byte{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
@@ -159,6 +161,9 @@
 		}
 		s.acceptedQueues[accepted.Job.Queue] = accepted.Queue
 		s.restoredJobs[s.jobs.Job(id)] = struct{}{}
+		if accepted.Epoch+1 == epoch {
+			s.predecessorsJobs[s.jobs.Job(id)] = struct{}{}
+		}
 	}
 	known, live := s.jobs.CountJobs()
 	c.Log.Info().Uint64("epoch", epoch).Int("jobs", known).Int("live", live).Int("vms", len(s.vms)).Msg("this entry now owns the jobs")
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -204,5 +204,7 @@
 	jobRecord struct {
 		Job   job.Job `json:"job"`
 		Queue Queue   `json:"queue"`
+		// Epoch is the epoch of the owner that has accepted the job.
+		Epoch uint64 `json:"epoch"`
 	}
 )
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -118,6 +118,7 @@
 	s.jobs.RemoveEnded(wallTime.Add(-c.Limits.Retention-retentionMargin), func(j *bookkeeper.Job) {
 		s.removedJobs = append(s.removedJobs, j.ID)
 		delete(s.restoredJobs, j)
+		delete(s.predecessorsJobs, j)
 	})
 	if len(s.removedJobs) > 0 {
 		c.Journal.Notify()
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -301,7 +301,8 @@
 		if x.task.Step.Job.Live() && !x.task.IsDone() && c.state.runs[x.task] == nil {
 			x.needed = true
 			c.state.runs[x.task] = x
-			c.state.jobs.RunFound(x.task, reported.Number, !reported.Unconfirmed)
+			_, oneEarlierOwner := c.state.predecessorsJobs[x.task.Step.Job]
+			c.state.jobs.RunFound(x.task, reported.Number, oneEarlierOwner && !reported.Unconfirmed)
 		}
 	}
 	x.stopping = !x.needed
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -237,6 +237,29 @@
 		Expect(cluster.coordinator.Cancel(ctx, request).Outcome).NotTo(Equal(messenger.OutcomeNotFound))
 		Expect(cluster.coordinator.JobState(ctx, request).Outcome).NotTo(Equal(messenger.OutcomeNotFound))
 	})
+	// Guards against a second run of a task: an owner that does not know of an earlier run of a task numbers its own run 1 as well. The next owner then
+	// takes that run for the first one, although the late result of the earlier run has completed the task for the previous owner.
+	It("does not start a step after a task whose runs under two earlier owners have the same number", func() {
+		submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}, {TaskCount: 1, Size: size, After: []int{0}}}})
+		cluster.simulate(200 * time.Millisecond)
+		first := cluster.agentWith("a.0.0.0")
+		first.finishRun("a.0.0.0", messenger.RunDone)
+		first.silent = true
+		cluster.takeOver()
+		cluster.simulate(9 * time.Second)
+		second, last := cluster.agentWith("a.0.0.0"), cluster.idleAgent()
+		cluster.journal.blocked = true
+		second.silent, first.silent, first.state = true, false, messenger.VMDraining
+		cluster.simulate(time.Second)
+		Expect(last.runs).To(HaveKey("a.0.1.0"))
+		last.silent, first.silent, second.silent = true, true, false
+		first.state = messenger.VMUp
+		cluster.takeOver()
+		cluster.simulate(400 * time.Millisecond)
+		second.finishRun("a.0.0.0", messenger.RunDone)
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.countRuns()).To(HaveKeyWithValue("a.0.1.0", 1))
+	})
 	// Guards against a grant that lets runs go on at a VM whose runs the new owner does not know, beyond the time after which it starts their
 	// tasks elsewhere.
 	It("lets an agent renew leases only after it has listed its runs, until all runs are known", func() {
