attendant, coordinator: a row without a readable task may be any run that the list lacks

What callers could see: a task that runs twice. The endpoint lists a run of ours in a row of which not even the task can be read. The agent drops the run, the owner counts it as missing in a report and starts the task elsewhere while it runs.

Cause: only rows with a readable task were taken into account (UnreadableTasks); others were left out without a trace. A start without an answer counted as refused for the same reason.

Change: a listing and a report say whether such a row exists (UnnamedRuns). The absence of a run then proves nothing: the agent keeps the run and reports it as unlisted, the owner keeps one that the report of a restarted agent lacks. So that an odd row that stays does not keep a lost run for ever, the owner stops a run that is unlisted for 2 s. Agents now say which stops the endpoint has confirmed.

Not covered: a new owner does not know of a run that is hidden so at an agent that was restarted before the takeover.

The fake agent and endpoint can hide runs and leave stops without effect.

--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -65,6 +65,66 @@
 		})
 	}
 
+	// Guards against a second start of a task whose run is listed in a row of which not even the task can be read, while its agent was restarted.
+	It("stops a run that an unreadable row may hide before its task starts elsewhere", func() {
+		submit(job.Job{ID: "odd", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+		cluster.simulate(400 * time.Millisecond)
+		a := cluster.agentWith("odd.0.0.0")
+		a.generation, a.reportSequence, a.unnamed, a.stopsFail, a.state = "h", 0, true, true, messenger.VMDraining
+		cluster.simulate(6 * time.Second)
+		Expect(cluster.countRuns()).To(Equal(map[string]int{"odd.0.0.0": 1}), "the run goes on while no stop is confirmed")
+		starts := func() int {
+			n := 0
+			for _, other := range cluster.agents {
+				n += len(other.starts)
+			}
+			return n
+		}
+		Expect(starts()).To(Equal(1))
+		a.stopsFail = false
+		cluster.simulate(4 * time.Second)
+		Expect(a.stops).NotTo(BeEmpty())
+		Expect(cluster.countRuns()).To(Equal(map[string]int{"odd.0.0.0": 1}))
+		Expect(starts()).To(Equal(2))
+	})
+	It("does not stop a run that an unreadable row hides for a moment", func() {
+		submit(job.Job{ID: "odd", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+		cluster.simulate(400 * time.Millisecond)
+		a := cluster.agentWith("odd.0.0.0")
+		a.unnamed = true
+		cluster.simulate(time.Second)
+		a.unnamed = false
+		cluster.simulate(4 * time.Second)
+		Expect(a.stops).To(BeEmpty())
+		Expect(a.runs).To(HaveLen(1))
+	})
+
+	// Guards against a task that never runs again: its run is lost, and a row without a readable task is listed for ever.
+	It("starts a task again after its lost run was stopped, although an unreadable row stays", func() {
+		submit(job.Job{ID: "odd", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+		cluster.simulate(400 * time.Millisecond)
+		a := cluster.agentWith("odd.0.0.0")
+		a.unnamed, a.state, a.runs = true, messenger.VMDraining, map[string]messenger.Run{}
+		cluster.simulate(1500 * time.Millisecond)
+		Expect(cluster.countRuns()).To(BeEmpty())
+		cluster.simulate(5 * time.Second)
+		Expect(cluster.countRuns()).To(Equal(map[string]int{"odd.0.0.0": 1}))
+	})
+
+	// Guards against a start that is repeated for ever at an agent that cannot find out whether it took effect.
+	It("stops a run without a confirmed start that an unreadable row may hide", func() {
+		odd := cluster.agents["vm-0"]
+		cluster.agents["vm-1"].state, cluster.agents["vm-2"].state = messenger.VMDraining, messenger.VMDraining
+		cluster.simulate(time.Second)
+		odd.startsUnknown, odd.unnamed, odd.unlistedRun = true, true, messenger.Run{Task: "odd.0.0.0", Number: 1, Unconfirmed: true, Unlisted: true}
+		submit(job.Job{ID: "odd", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+		cluster.simulate(4 * time.Second)
+		Expect(odd.stops).NotTo(BeEmpty())
+		odd.unlistedRun, odd.state, cluster.agents["vm-1"].state = messenger.Run{}, messenger.VMDraining, messenger.VMUp
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.agents["vm-1"].runs).To(HaveKey("odd.0.0.0"))
+	})
+
 	// Guards against an owner whose processor time for reports grows with the number of VMs.
 	It("asks for rarer reports in a large fleet", func() {
 		for count, interval := range map[int]time.Duration{10: 25 * time.Millisecond, 160: 400 * time.Millisecond, 2700: 600 * time.Millisecond} {
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -106,6 +106,11 @@
 	nextResultSequence int64
 	// unreadable makes the reports list no run, and name the tasks of the runs as unreadable.
 	unreadable bool
+	// unnamed makes the reports list no run, and say that there is one whose task cannot be read. stopsFail makes the endpoint execute no stops.
+	// unlistedRun is reported besides unless it has no task.
+	unnamed     bool
+	stopsFail   bool
+	unlistedRun messenger.Run
 	// silent makes the agent send no reports and ignore orders. runsUnlisted makes its reports list no runs and results. dropResponses makes it
 	// carry out orders without a response.
 	silent        bool
@@ -197,6 +202,10 @@
 		response.Starts = append(response.Starts, outcome)
 	}
 	for _, s := range o.Stops {
+		if a.stopsFail {
+			continue
+		}
+		response.Stopped = append(response.Stopped, s)
 		a.stops = append(a.stops, s.Task)
 		a.finishRun(s.Task, messenger.RunStopped)
 	}
@@ -255,7 +264,14 @@
 		EndpointID: "i-" + a.name, Service: "s",
 		Rack: "r", Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
 	}
+	r.UnnamedRuns = a.unnamed
+	if a.unlistedRun.Task != "" {
+		r.Runs = append(r.Runs, a.unlistedRun)
+	}
 	for _, run := range a.runs {
+		if a.unnamed {
+			continue
+		}
 		if a.unreadable {
 			r.UnreadableTasks = append(r.UnreadableTasks, run.Task)
 		} else {
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -69,6 +69,8 @@
 		Retention time.Duration
 		// MissTolerance is how long a long-running task may miss its latency target because of best-effort tasks.
 		MissTolerance time.Duration
+		// StopTimeout is the longest time between the confirmation of a stop by an endpoint and the end of the run.
+		StopTimeout time.Duration
 	}
 
 	// Queue is the configuration of a queue to which jobs are submitted.
@@ -187,6 +189,10 @@
 		stopsSent  int
 		// If settling is set, the run is only stopping because a copy of its start was refused while other copies of it may take effect.
 		settling bool
+		// stopConfirmedAt is when the owner received the first confirmation of a stop by the VM's current endpoint process, unlistedSince when a
+		// report first lacked the run because of a row without a readable task. Both are the zero time if that has not happened.
+		stopConfirmedAt time.Time
+		unlistedSince   time.Time
 		// lastReport is the state of the run in the last report that listed it.
 		lastReport messenger.Run
 		// pace is the pace in percent that the run should have, as package pacer defines it. confirmedPace is the pace that the agent has
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -378,6 +378,11 @@
 			x.expectedInReports, x.visibleFrom = true, response.Sequence
 		}
 	}
+	for _, stop := range response.Stopped {
+		if x, ok := v.runs[stop.Task]; ok && x.number == stop.Number && x.stopConfirmedAt.IsZero() {
+			x.stopConfirmedAt = now
+		}
+	}
 	for _, p := range o.Paces {
 		if x, ok := v.runs[p.Task]; ok && x.number == p.Number {
 			x.confirmedPace = p.Percent
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -20,6 +20,9 @@
 	// age of the first one reaches maxReportAge.
 	reportSpacing     = 2500 * time.Microsecond
 	maxReportInterval = 600 * time.Millisecond
+	// maxUnlistedTime is how long a row without a readable task may hide a run before the run is stopped. A row that is odd for a moment stops
+	// nothing.
+	maxUnlistedTime = 2 * time.Second
 )
 
 // Report processes the report of an agent. The response says up to which sequence number run results are recorded, and whether the agent may
@@ -112,6 +115,7 @@
 			// runs have ended.
 			x.mayReachNextProcess = x.mayReachNextProcess || !x.expectedInReports
 			x.expectedInReports, x.visibleFrom, x.confirmedPace = true, 0, pacer.FullPercent
+			x.stopConfirmedAt, x.unlistedSince = time.Time{}, time.Time{}
 		}
 		v.processedSequence, v.recordedSequence, v.unrecordedSequences = 0, 0, map[int64]struct{}{}
 		// The recent failures were those of the previous process.
@@ -266,7 +270,7 @@
 		if !reported.Unconfirmed {
 			c.confirmRun(x)
 		}
-		if x.settling && x.needed && x.stopsSent == 0 && !reported.Unconfirmed {
+		if x.settling && x.needed && x.stopsSent == 0 && !reported.Unconfirmed && !reported.Unlisted {
 			x.stopping, x.settling = false, false
 		}
 		// A long-running task whose progress is 100 percent has finished its startup. It does not end, so this counts as a successful run.
@@ -274,12 +278,17 @@
 			v.breaker.Succeeded()
 		}
 		x.lastReport = reported
+		c.updateUnlisted(x, reported.Unlisted, now)
 	}
 	for name, x := range v.runs {
 		if x.mayReachNextProcess && (!r.Listed || r.State == messenger.VMNotListening) && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
 			continue
 		}
 		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number && !slices.Contains(r.UnreadableTasks, name) {
+			if r.UnnamedRuns && (x.stopConfirmedAt.IsZero() || now.Sub(x.stopConfirmedAt) < c.Limits.StopTimeout+c.Leases.Drift) {
+				c.updateUnlisted(x, true, now)
+				continue
+			}
 			c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: name, Number: x.number}, "missing in a report", now)
 		}
 	}
@@ -289,6 +298,22 @@
 	}
 }
 
+// updateUnlisted records whether a row without a readable task may hide the run. If that lasts, it stops the run: once the endpoint has confirmed
+// the stop and the time for stops is over, a report that lacks the run shows that the run has ended or was never started.
+func (c *Coordinator) updateUnlisted(x *run, unlisted bool, now time.Time) {
+	switch {
+	case !unlisted:
+		x.unlistedSince = time.Time{}
+	case x.unlistedSince.IsZero():
+		x.unlistedSince = now
+	case !x.stopping && now.Sub(x.unlistedSince) > maxUnlistedTime:
+		c.Log.Warn().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Dur("unlisted", now.Sub(x.unlistedSince)).
+			Msg("stopping a run that a row without a readable task may hide")
+		x.stopping, x.settling = true, true
+		c.runsChanged(x.vm)
+	}
+}
+
 // adoptRun adds a reported run that this owner did not start, and stops the run if its task does not need it.
 func (c *Coordinator) adoptRun(v *vm, reported messenger.Run, now time.Time) *run {
 	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: 100}
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -76,7 +76,7 @@
 	e.coordinator = &coordinator.Coordinator{
 		Agents: peerClient, Journal: e.committer, Clock: clock, WallClock: wallClock{}, Log: logger, Meter: e.meter, Address: settings.PeerAddress,
 		Leases:         coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
-		Limits:         coordinator.Limits{Retention: settings.Retention, MissTolerance: settings.Tolerated},
+		Limits:         coordinator.Limits{Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout},
 		MayGrantLeases: e.elector.MayGrantLeases,
 	}
 	if settings.AdviceAddress != "" {
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -262,7 +262,7 @@
 	r := messenger.Report{
 		VM: a.Address, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, SentMS: a.millisSinceProcessStart(now), Incarnation: a.incarnation,
 		State: messenger.VMUnknown, Listed: a.listed, Results: a.pendingResults[:len(a.pendingResults):len(a.pendingResults)],
-		UnreadableTasks: a.unreadableTasks,
+		UnreadableTasks: a.unreadableTasks, UnnamedRuns: a.unnamedRuns,
 	}
 	if h.Incarnation == a.incarnation && a.incarnation != 0 {
 		r.EndpointID, r.Service, r.DataCentre, r.Rack, r.Labels, r.Capacity = h.EndpointID, h.Service, h.DataCentre, h.Rack, h.Labels, h.Capacity
@@ -277,6 +277,7 @@
 	for _, x := range a.runs {
 		reported := x.Run
 		reported.Unconfirmed, reported.StartUnanswered = x.phase != phaseRunning, x.startUnanswered
+		reported.Unlisted = x.unlisted && a.unnamedRuns
 		r.Runs = append(r.Runs, reported)
 	}
 	return r, now
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -51,7 +51,8 @@
 		e, o = newEndpoint(), &reporter{address: "owner", epoch: 3}
 		a = &attendant.Attendant{
 			Address: "vm", Generation: "g", Endpoint: e, Reporter: o, Clock: boottimer.Clock{}, Log: zerolog.Nop(),
-			LeaseDurations: attendant.LeaseDurations{Grant: 2 * time.Second, Run: 3 * time.Second}, Seeds: []string{"other", "owner"},
+			LeaseDurations: attendant.LeaseDurations{Grant: 2 * time.Second, Run: 3 * time.Second}, StopTimeout: 500 * time.Millisecond,
+			Seeds: []string{"other", "owner"},
 		}
 		discoveryStarted = &atomic.Bool{}
 		started := discoveryStarted
@@ -133,6 +134,53 @@
 		Eventually(func() []string { return o.report().UnreadableTasks }).Should(BeEmpty())
 	})
 
+	// Guards against a second start of a task whose run is listed in a row of which not even the task can be read.
+	It("keeps a run that a row without a readable task may hide, and reports that it is not listed", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		Eventually(func() []messenger.Run { return o.report().Runs }).Should(HaveLen(1))
+		Expect(o.report().Runs[0].Unlisted).To(BeFalse())
+		e.mutex.Lock()
+		e.unnamedRuns = true
+		e.mutex.Unlock()
+		Eventually(func() bool { return o.report().UnnamedRuns }).Should(BeTrue())
+		Consistently(func() []messenger.Run { return o.report().Runs }).WithTimeout(600 * time.Millisecond).Should(HaveLen(1))
+		Expect(o.report().Runs[0].Unlisted).To(BeTrue())
+		e.mutex.Lock()
+		e.unnamedRuns = false
+		e.mutex.Unlock()
+		Eventually(func() bool { return o.report().UnnamedRuns || o.report().Runs[0].Unlisted }).Should(BeFalse())
+	})
+
+	// Guards against a start that counts as refused because the list lacks its run, although a row may hide it.
+	It("does not refuse a start without a response while a row may hide its run", func() {
+		e.mutex.Lock()
+		e.unnamedRuns, e.keepsRunning, e.responsesToDrop = true, true, 2
+		e.mutex.Unlock()
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartUnknown))
+	})
+
+	// Guards against a run that is lost but is kept for ever, because a row without a readable task is listed for ever, and against a run that
+	// counts as ended before its stop has certainly ended it.
+	It("drops a run that a row may hide only once the endpoint has confirmed its stop and the stop has ended", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		e.mutex.Lock()
+		delete(e.runs, task)
+		e.unnamedRuns, e.stopsFail = true, true
+		e.mutex.Unlock()
+		Eventually(func() bool { return o.report().UnnamedRuns }).Should(BeTrue())
+		m := orders()
+		m.Stops = []messenger.Stop{{Task: task, Number: 1}}
+		Expect(a.HandleOrders(ctx, m).Stopped).To(BeEmpty())
+		Consistently(func() []messenger.Run { return o.report().Runs }).WithTimeout(time.Second).Should(HaveLen(1))
+		e.mutex.Lock()
+		e.stopsFail = false
+		e.mutex.Unlock()
+		Expect(a.HandleOrders(ctx, m).Stopped).To(Equal(m.Stops))
+		Consistently(func() []messenger.Run { return o.report().Runs }).WithTimeout(350 * time.Millisecond).Should(HaveLen(1))
+		Eventually(func() []messenger.Run { return o.report().Runs }).WithTimeout(2 * time.Second).Should(BeEmpty())
+		Expect(o.report().UnnamedRuns).To(BeTrue())
+	})
+
 	// Guards against an agent that lists without a pause because the endpoint always has a result that cannot be discarded.
 	It("pauses between list requests while a result without a usable sequence number is listed", func() {
 		e.mutex.Lock()
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -47,6 +47,10 @@
 	// unreadableTasks and unreadableResults are those of each listing. A run of an unreadable task is not listed.
 	unreadableTasks   []string
 	unreadableResults bool
+	// unnamedRuns makes the listings contain no run, and report that there is one whose task cannot be read. stopsFail makes stops get no answer
+	// and have no effect.
+	unnamedRuns bool
+	stopsFail   bool
 	// queries contains the list requests that the endpoint has accepted, and started the tasks of all executed starts.
 	queries []attendant.ListQuery
 	started []string
@@ -91,9 +95,9 @@
 // listing returns the current lists of runs and results. The caller holds the mutex.
 func (e *endpoint) listing() attendant.Listing {
 	l := attendant.Listing{Incarnation: e.incarnation, ClockMS: time.Now().UnixMilli(), Results: slices.Clone(e.results), ResultsMissing: e.resultsMissing}
-	l.UnreadableTasks, l.UnreadableResults = e.unreadableTasks, e.unreadableResults
+	l.UnreadableTasks, l.UnreadableResults, l.UnnamedRuns = e.unreadableTasks, e.unreadableResults, e.unnamedRuns
 	for _, r := range e.runs {
-		if !slices.Contains(e.unreadableTasks, r.Task) {
+		if !e.unnamedRuns && !slices.Contains(e.unreadableTasks, r.Task) {
 			l.Runs = append(l.Runs, r)
 		}
 	}
@@ -145,6 +149,9 @@
 func (e *endpoint) Stop(_ context.Context, s attendant.StopCall) error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.stopsFail {
+		return errNoResponse
+	}
 	e.highestNumbers[s.Task] = max(e.highestNumbers[s.Task], s.Number)
 	e.finish(s.Task, messenger.RunStopped)
 	return nil
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -80,6 +80,8 @@
 		// usable sequence number was left out, so that the endpoint cannot discard it.
 		UnreadableTasks   []string
 		UnreadableResults bool
+		// UnnamedRuns reports that the endpoint lists a run of which not even the task can be read. It may be any run that Runs lacks.
+		UnnamedRuns bool
 		// ResultsMissing reports that there may be more results than the endpoint lists at a time.
 		ResultsMissing bool
 	}
@@ -145,6 +147,8 @@
 		Log            zerolog.Logger
 		Meter          *meter.Meter
 		LeaseDurations LeaseDurations
+		// StopTimeout is the longest time between the confirmation of a stop by the endpoint and the end of the run.
+		StopTimeout time.Duration
 		// Seeds are the addresses of some entries. DiscoverEntries returns the addresses of more entries. The agent calls it,
 		// unless it is nil, after several reports in a row have failed.
 		Seeds           []string
@@ -205,9 +209,10 @@
 		recordedSequence   int64
 		lastResultSequence int64
 		pendingResults     []messenger.RunResult
-		// unreadableTasks and unreadableResults are those of the last listing.
+		// unreadableTasks, unreadableResults and unnamedRuns are those of the last listing.
 		unreadableTasks   []string
 		unreadableResults bool
+		unnamedRuns       bool
 		// runs contains the runs by task.
 		runs map[string]*run
 		// highestStopped contains, for each task, the highest run number that was ordered to stop.
@@ -237,6 +242,10 @@
 		absent        bool
 		// startUnanswered reports whether a start call had no response, so that it may still reach the next endpoint process.
 		startUnanswered bool
+		// unlisted reports that the run would be absent if the last listing had no row without a readable task.
+		unlisted bool
+		// stoppedAt is when the endpoint first confirmed a stop of the run, or the zero time.
+		stoppedAt time.Time
 	}
 
 	phase int
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -51,11 +51,12 @@
 	}
 	var group sync.WaitGroup
 	outcomes := make([]messenger.StartOutcome, len(o.Starts))
+	stopsConfirmed := make([]bool, len(o.Stops))
 	for n, s := range o.Starts {
 		group.Go(func() { outcomes[n] = a.start(ctx, o, s) })
 	}
-	for _, s := range o.Stops {
-		group.Go(func() { a.stop(ctx, s) })
+	for n, s := range o.Stops {
+		group.Go(func() { stopsConfirmed[n] = a.stop(ctx, o, s) })
 	}
 	for _, p := range o.Paces {
 		group.Go(func() { a.setPace(ctx, p) })
@@ -64,6 +65,11 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	response.Starts, response.Sequence = outcomes, a.reportSequence+1
+	for n, s := range o.Stops {
+		if stopsConfirmed[n] {
+			response.Stopped = append(response.Stopped, s)
+		}
+	}
 	return response
 }
 
@@ -259,9 +265,11 @@
 	return outcome
 }
 
-// stop asks the endpoint to stop a run. If the run's start has not reached the endpoint yet, the endpoint will reject that start.
-func (a *Attendant) stop(ctx context.Context, s messenger.Stop) {
+// stop asks the endpoint to stop a run. If the run's start has not reached the endpoint yet, the endpoint will reject that start. It
+// reports whether the endpoint process that o refers to has confirmed the stop.
+func (a *Attendant) stop(ctx context.Context, o messenger.Orders, s messenger.Stop) bool {
 	a.mutex.Lock()
+	endpointKnown := a.incarnation == o.Incarnation && a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != ""
 	c := StopCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, Stop: s}
 	a.highestStopped[s.Task] = max(a.highestStopped[s.Task], s.Number)
 	a.mutex.Unlock()
@@ -269,6 +277,15 @@
 	defer cancel()
 	err := a.Endpoint.Stop(callCtx, c)
 	a.Log.Info().Str("task", s.Task).Int("run", s.Number).Err(err).Msg("stop call to the endpoint has ended (successfully unless an error is given)")
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if err != nil || !endpointKnown || a.incarnation != o.Incarnation {
+		return false
+	}
+	if x, ok := a.runs[s.Task]; ok && x.Number <= s.Number && x.stoppedAt.IsZero() {
+		x.stoppedAt = a.Clock.Now()
+	}
+	return true
 }
 
 // setPace asks the endpoint to limit a run to a percentage of its full rate. It only logs a failure.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -28,6 +28,8 @@
 	// maxRefusedConnections is the number of list requests in a row with a refused connection after which the endpoint process counts
 	// as ended.
 	maxRefusedConnections = 3
+	// stopMargin is added to the time that a stop takes at most, for the error of the endpoint's clock.
+	stopMargin = 100 * time.Millisecond
 	// unlistedPause is the time between list requests while the runs are not listed, for example because the owner has not numbered the agent
 	// process yet.
 	unlistedPause = 20 * time.Millisecond
@@ -173,6 +175,7 @@
 	if a.refusedConnections != maxRefusedConnections {
 		return
 	}
+	a.unnamedRuns = false
 	a.Log.Warn().Int64("life", a.incarnation).Int("runs", len(a.runs)).Msg("endpoint refuses connections; its process counts as ended")
 	// The pending run results are kept. If the same process still exists, it lists them again, but the agent skips results that it has
 	// already seen.
@@ -222,7 +225,10 @@
 			delete(a.runs, r.Task)
 		}
 	}
-	a.unreadableTasks, a.unreadableResults = l.UnreadableTasks, l.UnreadableResults
+	if l.UnnamedRuns != a.unnamedRuns {
+		a.Log.Warn().Int64("life", l.Incarnation).Bool("unnamed", l.UnnamedRuns).Int("runs", len(l.Runs)).Msg("runs without a readable task in the list have changed")
+	}
+	a.unreadableTasks, a.unreadableResults, a.unnamedRuns = l.UnreadableTasks, l.UnreadableResults, l.UnnamedRuns
 	listedTasks := map[string]struct{}{}
 	for _, task := range l.UnreadableTasks {
 		listedTasks[task] = struct{}{}
@@ -238,7 +244,7 @@
 			if x.phase != phaseRunning {
 				x.confirmedAt = a.Clock.Now()
 			}
-			x.Run, x.phase = listedRun, phaseRunning
+			x.Run, x.phase, x.unlisted = listedRun, phaseRunning, false
 		}
 	}
 	for task, x := range a.runs {
@@ -247,6 +253,11 @@
 			break
 		}
 		if _, ok := listedTasks[task]; !ok && x.isCertainlyAbsent(q, sentAt) {
+			if l.UnnamedRuns && (x.stoppedAt.IsZero() || sentAt.Sub(x.stoppedAt) < a.StopTimeout+stopMargin) {
+				// The row without a readable task may be that of the run.
+				x.unlisted = true
+				continue
+			}
 			x.absent = true
 			delete(a.runs, task)
 		}
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -96,6 +96,9 @@
 		// UnreadableTasks are the tasks of listed runs that the agent cannot read otherwise. A run of such a task is not lost although Runs
 		// does not contain it.
 		UnreadableTasks []string `json:"unreadable,omitempty"`
+		// UnnamedRuns reports that the endpoint lists a run of which not even the task can be read. Then a run is not lost although Runs does
+		// not contain it.
+		UnnamedRuns bool `json:"unnamed,omitempty"`
 		// Results are the results that the owner has not recorded yet.
 		Results []RunResult `json:"ends,omitempty"`
 	}
@@ -113,6 +116,8 @@
 		// StartUnanswered means that a copy of the start had no response. It may still reach the next endpoint process, also if the endpoint
 		// has confirmed another copy.
 		StartUnanswered bool `json:"start-unanswered,omitempty"`
+		// Unlisted means that the endpoint's last list lacks the run, but contains a run of which not even the task can be read.
+		Unlisted bool `json:"unlisted,omitempty"`
 		// LatencyOrUsage is the tail latency in milliseconds of a long-running task with a latency target. For other tasks it is the
 		// number of milli-processors in use.
 		LatencyOrUsage int `json:"figure"`
@@ -205,6 +210,8 @@
 		Epoch    uint64         `json:"epoch"`
 		Sequence uint64         `json:"sequence"`
 		Starts   []StartOutcome `json:"starts,omitempty"`
+		// Stopped holds the stops that the endpoint process of the orders has confirmed. Their runs end within the platform's limit for stops.
+		Stopped []Stop `json:"stopped,omitempty"`
 	}
 
 	// StartOutcome is the outcome of one of the ordered starts. Outcome is StartDone, StartRefused or StartUnknown. Reason explains the
