bookkeeper: failures of runs with one number on two VMs count separately

Cause: a failed run was identified by its number alone, so that a result that is reported again counts once. But the start of a first run is not recorded. A new owner that does not hear of it, since the VM is cut off, numbers the next run 1 again. When the VM comes back and reports that the first run had failed before, one of the two failures was not counted.

Change: a failed run is identified by its number and VM. An endpoint process rejects numbers that are not above those that ended there, and a failure of an earlier process on the VM is either recorded, which raises the next number, or gone with that process. The record keeps the numbers as before, which earlier versions read, and gains the VMs (failed-run-vms) in the same order. A failure from a record without VMs takes the VM of the next one with its number, so a repeated report of it still counts once.

Tests: the calls of RunFailed in the tests of the bookkeeper name a VM now; their expectations are the same. TestTaskNeverRunsTwice also identified failures by number alone, when it checks that a job that ended as failed had failed often enough; it now uses VM and number, and still requires as many failed runs as the queue has attempts.

--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -77,8 +77,8 @@
 		Index int
 		// done reports whether a run has completed the task. In a gang, a run of any of its tasks completes all of them.
 		done bool
-		// failedRuns holds the numbers of the failed runs. Runs that were stopped or were lost with their VM do not count as failed.
-		failedRuns []int
+		// failedRuns holds the failed runs. Runs that were stopped or were lost with their VM do not count as failed.
+		failedRuns []failedRun
 		// checkpoint is the checkpoint from which the next run resumes. If it is empty, the run starts from the beginning.
 		checkpoint string
 		// lastRunNumber is the highest number that a run of the task has or that was skipped.
@@ -91,6 +91,13 @@
 		// waitingSince is when the task last began to wait for its start.
 		waitingSince time.Time
 	}
+
+	// failedRun identifies a failed run of a task. Two owners may give two runs on different VMs the same number, but an endpoint accepts each
+	// number once. vm is empty if the run was restored from a record without VMs.
+	failedRun struct {
+		number int
+		vm     string
+	}
 )
 
 // New returns a Bookkeeper without jobs.
@@ -289,12 +296,18 @@
 	return true
 }
 
-// RunFailed records that the run of the task with the number failed. The job fails once the task has failureLimit failed runs, unless
+// RunFailed records that the run of the task with the number failed on the VM. The job fails once the task has failureLimit failed runs, unless
 // failureLimit is 0 or the task is long-running. A run counts once, even if its result is reported repeatedly or after that of a later run.
-func (b *Bookkeeper) RunFailed(t *Task, number, failureLimit int, now time.Time) {
+func (b *Bookkeeper) RunFailed(t *Task, number int, vm string, failureLimit int, now time.Time) {
 	t.SkipRunNumbersTo(number)
-	if !slices.Contains(t.failedRuns, number) {
-		t.failedRuns = append(t.failedRuns, number)
+	failed := failedRun{number, vm}
+	if !slices.Contains(t.failedRuns, failed) {
+		if n := slices.Index(t.failedRuns, failedRun{number: number}); n >= 0 {
+			// The run on an unknown VM may be this one.
+			t.failedRuns[n] = failed
+		} else {
+			t.failedRuns = append(t.failedRuns, failed)
+		}
 	}
 	if failureLimit > 0 && !t.Step.LongRunning && len(t.failedRuns) >= failureLimit && t.Step.Job.Live() {
 		b.endJob(t.Step.Job, StateFailed, now)
--- a/internal/batch/bookkeeper/bookkeeper_test.go
+++ b/internal/batch/bookkeeper/bookkeeper_test.go
@@ -54,11 +54,11 @@
 
 	It("fails a job only when one of its tasks has reached the failure limit", func() {
 		j := accept(twoStepJob("a"))
-		b.RunFailed(task(0, 0), 1, 2, now)
-		b.RunFailed(task(0, 1), 1, 2, now)
+		b.RunFailed(task(0, 0), 1, "vm", 2, now)
+		b.RunFailed(task(0, 1), 1, "vm", 2, now)
 		Expect(j.Live()).To(BeTrue())
 		Expect(waitingTasks()).To(HaveLen(2))
-		b.RunFailed(task(0, 0), 2, 2, now)
+		b.RunFailed(task(0, 0), 2, "vm", 2, now)
 		Expect(j.State()).To(Equal(bookkeeper.StateFailed))
 		Expect(waitingTasks()).To(BeEmpty())
 	})
@@ -67,8 +67,8 @@
 	// later run may be reported first.
 	It("counts a failed run that is reported after the failure of a later run", func() {
 		j := accept(twoStepJob("a"))
-		b.RunFailed(task(0, 0), 2, 2, now)
-		b.RunFailed(task(0, 0), 1, 2, now)
+		b.RunFailed(task(0, 0), 2, "vm", 2, now)
+		b.RunFailed(task(0, 0), 1, "vm", 2, now)
 		Expect(j.State()).To(Equal(bookkeeper.StateFailed))
 	})
 
@@ -76,19 +76,51 @@
 	// recorded the result and the endpoint still lists it.
 	It("counts a failed run once, even if it is reported again after a restore", func() {
 		j := accept(twoStepJob("a"))
-		b.RunFailed(task(0, 0), 1, 2, now)
-		b.RunFailed(task(0, 0), 1, 2, now)
+		b.RunFailed(task(0, 0), 1, "vm", 2, now)
+		b.RunFailed(task(0, 0), 1, "vm", 2, now)
 		Expect(j.Live()).To(BeTrue())
 		progress := j.Progress()
 		b = bookkeeper.New()
 		Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
-		b.RunFailed(task(0, 0), 1, 2, now)
+		b.RunFailed(task(0, 0), 1, "vm", 2, now)
 		Expect(b.Job("a").Live()).To(BeTrue())
 		Expect(task(0, 0).Failures()).To(Equal(1))
-		b.RunFailed(task(0, 0), 2, 2, now)
+		b.RunFailed(task(0, 0), 2, "vm", 2, now)
 		Expect(b.Job("a").State()).To(Equal(bookkeeper.StateFailed))
 	})
 
+	// Guards against a start beyond the failure limit. Two owners may give the same number to runs on two VMs.
+	It("counts two failed runs with the same number on different VMs, also after a restore", func() {
+		j := accept(twoStepJob("a"))
+		b.RunFailed(task(0, 0), 1, "x", 3, now)
+		b.RunFailed(task(0, 0), 1, "y", 3, now)
+		Expect(task(0, 0).Failures()).To(Equal(2))
+		progress := j.Progress()
+		b = bookkeeper.New()
+		Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
+		b.RunFailed(task(0, 0), 1, "y", 3, now)
+		b.RunFailed(task(0, 0), 1, "x", 3, now)
+		Expect(task(0, 0).Failures()).To(Equal(2))
+		b.RunFailed(task(0, 0), 1, "z", 3, now)
+		Expect(b.Job("a").State()).To(Equal(bookkeeper.StateFailed))
+	})
+
+	// Guards against a failure that counts twice because an earlier version of the program recorded it without its VM, and against a record that
+	// an earlier version cannot read or counts differently.
+	It("reads and writes the numbers of failed runs as earlier versions do", func() {
+		Expect(b.Restore(twoStepJob("a"), []byte(`{"state":"running","occurrences":{"0":[{"failed-runs":{"0":[1,3]}},{}]}}`), now)).To(Succeed())
+		Expect(task(0, 0).Failures()).To(Equal(2))
+		Expect(task(0, 0).NextRunNumber()).To(Equal(4))
+		for range 2 {
+			b.RunFailed(task(0, 0), 3, "x", 9, now)
+			b.RunFailed(task(0, 0), 1, "x", 9, now)
+		}
+		Expect(task(0, 0).Failures()).To(Equal(2))
+		b.RunFailed(task(0, 0), 1, "y", 9, now)
+		Expect(task(0, 0).Failures()).To(Equal(3))
+		Expect(string(b.Job("a").Progress())).To(ContainSubstring(`"failed-runs":{"0":[1,3,1]}`))
+	})
+
 	It("opens occurrences when they are due", func() {
 		j := twoStepJob("a")
 		j.Occurrences, j.FirstDue, j.Interval = 2, now.Add(time.Second), time.Minute
@@ -151,7 +183,7 @@
 		j := accept(twoStepJob("a"))
 		b.RunStarted(task(0, 1), 3)
 		b.SetCheckpoint(task(0, 1), "c")
-		b.RunFailed(task(0, 1), 3, 9, now)
+		b.RunFailed(task(0, 1), 3, "vm", 9, now)
 		progress := j.Progress()
 		b = bookkeeper.New()
 		Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
--- a/internal/batch/bookkeeper/record.go
+++ b/internal/batch/bookkeeper/record.go
@@ -32,6 +32,8 @@
 		LastRunNumbers map[int]int `json:"runs,omitempty"`
 		// FailedRuns holds the numbers of the failed runs of each task. It is empty for long-running tasks, whose failures are not limited.
 		FailedRuns map[int][]int `json:"failed-runs,omitempty"`
+		// FailedRunVMs holds the VMs of FailedRuns in the same order. Records of earlier versions lack it. Then one failure of each number counts.
+		FailedRunVMs map[int][]string `json:"failed-run-vms,omitempty"`
 	}
 )
 
@@ -55,7 +57,7 @@
 
 // progress returns the progress of the step for the store.
 func (s *Step) progress() stepProgress {
-	r := stepProgress{Checkpoints: map[int]string{}, LastRunNumbers: map[int]int{}, FailedRuns: map[int][]int{}}
+	r := stepProgress{Checkpoints: map[int]string{}, LastRunNumbers: map[int]int{}, FailedRuns: map[int][]int{}, FailedRunVMs: map[int][]string{}}
 	for i, t := range s.Tasks {
 		if t.done {
 			for len(r.Done) <= i/8 {
@@ -65,7 +67,9 @@
 			continue
 		}
 		if len(t.failedRuns) > 0 && !t.Step.LongRunning {
-			r.FailedRuns[i] = t.failedRuns
+			for _, failed := range t.failedRuns {
+				r.FailedRuns[i], r.FailedRunVMs[i] = append(r.FailedRuns[i], failed.number), append(r.FailedRunVMs[i], failed.vm)
+			}
 		}
 		if t.checkpoint != "" {
 			r.Checkpoints[i] = t.checkpoint
@@ -146,9 +150,14 @@
 func (s *Step) restore(r stepProgress) {
 	for i, t := range s.Tasks {
 		t.done = i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0
-		t.failedRuns, t.checkpoint, t.lastRunNumber = r.FailedRuns[i], r.Checkpoints[i], r.LastRunNumbers[i]
-		for _, run := range t.failedRuns {
-			t.SkipRunNumbersTo(run)
+		t.checkpoint, t.lastRunNumber = r.Checkpoints[i], r.LastRunNumbers[i]
+		for n, number := range r.FailedRuns[i] {
+			failed := failedRun{number: number}
+			if vms := r.FailedRunVMs[i]; n < len(vms) {
+				failed.vm = vms[n]
+			}
+			t.failedRuns = append(t.failedRuns, failed)
+			t.SkipRunNumbersTo(number)
 		}
 		if t.done {
 			s.remaining--
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -113,7 +113,7 @@
 	w := &simWorld{
 		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
 		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
-		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[int]struct{}{},
+		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[simFailure]struct{}{},
 	}
 	if faults.lateCalls {
 		w.startFaults, w.listFaults = callFaults{late: 0.18, lost: 0.08}, callFaults{late: 0.02, lost: 0.01}
@@ -261,8 +261,8 @@
 
 // hasFailed reports whether a task of the job has failed as often as permitted.
 func (w *simWorld) hasFailed(j job.Job) bool {
-	for task, numbers := range w.failures {
-		if id, _ := job.ParseTask(task); id.Job == j.ID && len(numbers) >= simAttempts {
+	for task, failures := range w.failures {
+		if id, _ := job.ParseTask(task); id.Job == j.ID && len(failures) >= simAttempts {
 			return true
 		}
 	}
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -95,13 +95,19 @@
 		names   int
 		events  []simEvent
 		// starts and doneEnds hold, by task, the starts that took effect and the runs that have ended as done. failures holds the numbers of
-		// its failed runs.
+		// its failed runs and their VMs, since two owners may give the same number to runs on two VMs.
 		starts    map[string][]time.Time
 		doneEnds  map[string][]*doneEnd
-		failures  map[string]map[int]struct{}
+		failures  map[string]map[simFailure]struct{}
 		violation string
 	}
 
+	// simFailure identifies a failed run of a task.
+	simFailure struct {
+		vm     string
+		number int
+	}
+
 	// simEvent is an event of a task or, if task is empty, of a process. If writer is not empty, text is a log entry of the process with that
 	// name, which names or runs on the VM vm.
 	simEvent struct {
@@ -307,9 +313,9 @@
 		w.doneEnds[r.Task] = append(w.doneEnds[r.Task], &doneEnd{process: p, number: r.Number, sequence: sequence, at: time.Now()})
 	case messenger.RunFailed:
 		if w.failures[r.Task] == nil {
-			w.failures[r.Task] = map[int]struct{}{}
+			w.failures[r.Task] = map[simFailure]struct{}{}
 		}
-		w.failures[r.Task][r.Number] = struct{}{}
+		w.failures[r.Task][simFailure{p.endpoint.vm, r.Number}] = struct{}{}
 	}
 }
 
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -169,7 +169,7 @@
 		} else {
 			c.Log.Info().Str("task", result.Task).Int("run", result.Number).Str("vm", v.Name).Str("how", result.Outcome).
 				Msg("result of a run that is not the current one of its task")
-			c.applyEarlierResult(result)
+			c.applyEarlierResult(v, result)
 		}
 		j := c.jobNeedingResults(result.Task)
 		if j == nil {
@@ -182,9 +182,9 @@
 	}
 }
 
-// applyEarlierResult applies the result of a run that is not the current run of its task. A failure counts. A run that has completed the task
+// applyEarlierResult applies the result of a run on the VM that is not the current run of its task. A failure counts. A run that has completed the task
 // makes the current run superfluous, which is then stopped. So are the current runs of the other tasks in a gang.
-func (c *Coordinator) applyEarlierResult(result messenger.RunResult) {
+func (c *Coordinator) applyEarlierResult(v *vm, result messenger.RunResult) {
 	id, ok := job.ParseTask(result.Task)
 	if !ok {
 		return
@@ -195,7 +195,7 @@
 	}
 	switch result.Outcome {
 	case messenger.RunFailed:
-		c.state.jobs.RunFailed(t, result.Number, c.queueOf(t.Step.Job).Attempts, c.WallClock.Now())
+		c.state.jobs.RunFailed(t, result.Number, v.Name, c.queueOf(t.Step.Job).Attempts, c.WallClock.Now())
 		c.Log.Info().Str("task", result.Task).Int("run", result.Number).Int("failures", t.Failures()).Msg("counted the failure of an earlier run of a task")
 	case messenger.RunDone:
 		if t.Step.LongRunning {
@@ -370,7 +370,7 @@
 		v.breaker.Succeeded()
 	case messenger.RunFailed:
 		c.state.jobs.SetCheckpoint(t, result.Checkpoint)
-		c.state.jobs.RunFailed(t, x.number, c.queueOf(j).Attempts, c.WallClock.Now())
+		c.state.jobs.RunFailed(t, x.number, v.Name, c.queueOf(j).Attempts, c.WallClock.Now())
 		c.state.jobs.WaitAgain(t, c.WallClock.Now())
 		if v.breaker.Failed(j.ID, now) {
 			c.Log.Warn().Str("vm", v.Name).Msg("circuit breaker opened: VM is out of use because runs of several jobs fail there")
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -229,6 +229,47 @@
 		cluster.simulate(2 * time.Second)
 		Expect(cluster.countRuns()).To(HaveKeyWithValue("a.0.1.0", 1))
 	})
+	// Guards against a start beyond the attempts of the queue. The start of a first run is not recorded, so a new owner that does not hear of it gives
+	// the next run on another VM the same number.
+	It("counts the failures of two runs that two owners have given the same number", func() {
+		submit(job.Job{ID: "a", Queue: "q", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+		cluster.simulate(200 * time.Millisecond)
+		first := cluster.agentWith("a.0.0.0")
+		first.silent = true
+		first.finishRun("a.0.0.0", messenger.RunFailed)
+		cluster.takeOver()
+		cluster.simulate(9 * time.Second)
+		second := cluster.agentWith("a.0.0.0")
+		Expect(second.runs["a.0.0.0"].Number).To(Equal(first.results[0].Number), "both owners gave the same number")
+		second.finishRun("a.0.0.0", messenger.RunFailed)
+		cluster.simulate(400 * time.Millisecond)
+		Expect(cluster.countRuns()).To(HaveKey("a.0.0.0"), "one failure is within the attempts")
+		for range 2 {
+			first.silent = false
+			reported := append([]messenger.RunResult{}, first.results...)
+			cluster.simulate(time.Second)
+			state := cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: "a", Queue: "q"})
+			Expect(state.State).To(Equal("failed"))
+			Expect(cluster.countRuns()).To(BeEmpty())
+			first.results = reported
+			cluster.takeOver()
+		}
+	})
+	// Guards against a failure that counts twice because a new owner receives it again, although the previous one has recorded it.
+	It("counts a failure once that the previous owner has recorded and the endpoint still lists", func() {
+		submit(job.Job{ID: "a", Queue: "q", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+		cluster.simulate(200 * time.Millisecond)
+		first := cluster.agentWith("a.0.0.0")
+		first.finishRun("a.0.0.0", messenger.RunFailed)
+		reported := append([]messenger.RunResult{}, first.results...)
+		cluster.simulate(time.Second)
+		for range 3 {
+			first.results = append([]messenger.RunResult{}, reported...)
+			cluster.takeOver()
+			cluster.simulate(time.Second)
+			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 1}))
+		}
+	})
 	// Guards against a grant that lets runs go on at a VM whose runs the new owner does not know, beyond the time after which it starts their
 	// tasks elsewhere.
 	It("lets an agent renew leases only after it has listed its runs, until all runs are known", func() {
