coordinator: the test of second runs cuts VMs off from owners

A VM is cut off from all owners, from the present one, or from another one, for 1 to 12 s, in one direction or both, silently or with refused connections. Messages in a silent cut are dropped, or arrive after its end. A new owner is often cut off from VMs that its predecessor still reaches.

--- a/internal/batch/coordinator/exclusion_endpoint_test.go
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -25,8 +25,12 @@
 	startupTime = 200 * time.Millisecond
 	// failedRunShare is the share of the runs of tasks that end that fail.
 	failedRunShare = 0.06
-	minRunTime     = 300 * time.Millisecond
-	maxRunTime     = 2 * time.Second
+	// longRunShare is the share of the runs of a slow world that may take up to maxLongRunTime.
+	longRunShare = 0.4
+	minRunTime   = 300 * time.Millisecond
+	maxRunTime   = 2 * time.Second
+	// maxLongRunTime is longer than the leases of a run whose agent has just lost contact to the owner.
+	maxLongRunTime = 9 * time.Second
 	vmProcessors   = 4000
 	// lowestNumberedToken is the lowest fencing token of an agent process with a number, which is made of epoch, number and a counter of 12 bits.
 	lowestNumberedToken = 1 << 36
@@ -176,7 +180,11 @@
 	if r.Float64() < failedRunShare {
 		outcome = messenger.RunFailed
 	}
-	return outcome, minRunTime + time.Duration(r.Int64N(int64(maxRunTime-minRunTime)))
+	longest := maxRunTime
+	if w.faults.slow && r.Float64() < longRunShare {
+		longest = maxLongRunTime
+	}
+	return outcome, minRunTime + time.Duration(r.Int64N(int64(longest-minRunTime)))
 }
 
 // endIfPresent ends a run unless it has ended before or its process has.
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -87,6 +88,9 @@
 			time.AfterFunc(unaware, previous.resign)
 		}
 		w.log("", "owner of epoch %d takes over; the previous one learns of it after %v", o.epoch, unaware)
+		if w.faults.cuts {
+			w.cutOffFromNewOwner(o.address)
+		}
 	})
 	o.coordinator.Address = o.address
 	o.coordinator.Log = zerolog.New(simLog{world: w, name: fmt.Sprint("owner of epoch ", o.epoch)})
@@ -207,9 +211,9 @@
 	return d, w.chance(lostMessageShare)
 }
 
-// deliver sends a message and returns its response. handle is called where the message arrives, also after ctx has ended. It returns false if
-// there is no response.
-func deliver[T any](ctx context.Context, w *simWorld, handle func() (T, bool, error)) (T, error) {
+// deliver sends a message over the link and returns its response. handle is called where the message arrives, also after ctx has ended. It
+// returns false if there is no response.
+func deliver[T any](ctx context.Context, w *simWorld, link simLink, handle func() (T, bool, error)) (T, error) {
 	type outcome struct {
 		response T
 		err      error
@@ -220,9 +224,22 @@
 		if !sleeper.Sleep(w.ctx, delay) || lost {
 			return
 		}
+		if err := w.pass(link); err != nil {
+			if errors.Is(err, errNotReachable) {
+				arrived <- outcome{err: err}
+			}
+			return
+		}
 		response, answered, err := handle()
 		delay, lost = w.travel()
-		if answered && !lost && sleeper.Sleep(w.ctx, delay) {
+		if !answered || lost || !sleeper.Sleep(w.ctx, delay) {
+			return
+		}
+		switch cutErr := w.pass(link.reverse()); {
+		case errors.Is(cutErr, errNotReachable):
+			// The connection breaks before the response.
+			arrived <- outcome{err: cutErr}
+		case cutErr == nil:
 			arrived <- outcome{response, err}
 		}
 	}()
@@ -241,7 +258,7 @@
 		return messenger.ReportResponse{}, ctx.Err()
 	}
 	sentAt := time.Now()
-	return deliver(ctx, s.world, func() (messenger.ReportResponse, bool, error) {
+	return deliver(ctx, s.world, simLink{r.VM, entry, true}, func() (messenger.ReportResponse, bool, error) {
 		if time.Since(sentAt) > maxMessageDelay {
 			s.world.locked(func(w *simWorld) {
 				w.log("", "%s: report %d of %s, sent at %s, arrives late with the runs %+v", r.VM, r.Sequence, r.Generation, w.at(sentAt), r.Runs)
@@ -288,7 +305,7 @@
 			w.log(s.Task, "owner of epoch %d orders %s to stop run %d", o.epoch, vm, s.Number)
 		}
 	})
-	return deliver(ctx, w, func() (messenger.OrdersResponse, bool, error) {
+	return deliver(ctx, w, simLink{vm, o.address, false}, func() (messenger.OrdersResponse, bool, error) {
 		var p *agentProcess
 		w.locked(func(w *simWorld) { p = w.agents[vm].process })
 		if p == nil {
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -31,9 +31,10 @@
 	jobCount        = 14
 	minVMs          = 3
 	taskProcessors  = 1000
-	// faultTime is how long the faults of a world last, recoveryTime how long it goes on without faults.
-	faultTime    = 16 * time.Second
-	recoveryTime = 30 * time.Second
+	// faultTime is how long the faults of a world last, longFaultTime that of a slow one. recoveryTime is how long it goes on without faults.
+	faultTime     = 16 * time.Second
+	longFaultTime = 40 * time.Second
+	recoveryTime  = 30 * time.Second
 	// watchPeriod is the time between two looks for a violation, which ends the world early.
 	watchPeriod = 100 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
@@ -44,11 +45,14 @@
 	maxCrashPeriod    = 9 * time.Second
 	minTakeoverPeriod = 2500 * time.Millisecond
 	maxTakeoverPeriod = 6 * time.Second
-	maxUnawareTime    = 2 * time.Second
+	// The owners of a slow world stay long enough to count silent VMs as lost, which they do 7 s after the last report, or 9 s after a takeover.
+	minSlowTakeoverPeriod = 4 * time.Second
+	maxSlowTakeoverPeriod = 22 * time.Second
+	maxUnawareTime        = 2 * time.Second
 )
 
 // Guards against a second run of a task while the first one still runs or after it has ended as done. Calls to the endpoints are carried out
-// seconds late or lose their answers, messages are delayed, and processes of all kinds are replaced meanwhile.
+// seconds late or lose their answers, messages are delayed, VMs are cut off from owners, and processes of all kinds are replaced meanwhile.
 func TestTaskNeverRunsTwice(t *testing.T) {
 	for name, faults := range map[string]simFaults{
 		"agent kills and late calls":       {agentKills: true, lateCalls: true},
@@ -62,6 +66,8 @@
 		"takeovers and late messages":      {takeovers: true, lateMessages: true},
 		"late calls without other faults":  {lateCalls: true},
 		"late calls and late messages":     {lateCalls: true, lateMessages: true},
+		"cuts and takeovers":               {slow: true, cuts: true, takeovers: true},
+		"cuts with other faults":           {slow: true, cuts: true, takeovers: true, agentKills: true, lateCalls: true},
 		"no faults, which checks the test": {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -133,9 +139,9 @@
 	}
 	go w.takeOvers()
 	jobs := w.submitJobs()
-	for time.Since(w.startedAt) < faultTime+recoveryTime && !w.violated() {
+	for time.Since(w.startedAt) < w.faults.time()+recoveryTime && !w.violated() {
 		w.sleep(watchPeriod)
-		if time.Since(w.startedAt) >= faultTime {
+		if time.Since(w.startedAt) >= w.faults.time() {
 			w.locked(func(w *simWorld) { w.calm = true })
 		}
 	}
@@ -147,6 +153,14 @@
 	return w.violation
 }
 
+// time returns how long the faults of the world last.
+func (f simFaults) time() time.Duration {
+	if f.slow {
+		return longFaultTime
+	}
+	return faultTime
+}
+
 // injectFaults kills the agent and the endpoint of a VM from time to time.
 func (w *simWorld) injectFaults(e *simEndpoint, a *simAgent) {
 	if w.faults.agentKills {
@@ -156,6 +170,9 @@
 			}
 		})
 	}
+	if w.faults.cuts {
+		go w.cutOffSometimes(e.vm)
+	}
 	if w.faults.crashes {
 		go w.repeat(minCrashPeriod, maxCrashPeriod, func(w *simWorld) { w.crashEndpoint(e) })
 	}
@@ -181,7 +198,11 @@
 	if !w.faults.takeovers {
 		return
 	}
-	for w.sleep(w.duration(minTakeoverPeriod, maxTakeoverPeriod)) && time.Since(w.startedAt) < faultTime {
+	shortest, longest := minTakeoverPeriod, maxTakeoverPeriod
+	if w.faults.slow {
+		shortest, longest = minSlowTakeoverPeriod, maxSlowTakeoverPeriod
+	}
+	for w.sleep(w.duration(shortest, longest)) && time.Since(w.startedAt) < w.faults.time() {
 		w.takeOver(w.duration(0, maxUnawareTime))
 	}
 }
@@ -192,7 +213,7 @@
 	go func() {
 		w.submit(job.Job{ID: longJob, Occurrences: 1, Steps: []job.Step{{TaskCount: longTasks, Size: size, LongRunning: true}}})
 		w.submit(job.Job{ID: cancelledJob, Occurrences: 1, Steps: []job.Step{{TaskCount: cancelledTasks, Size: size, LongRunning: true}}})
-		w.sleep(w.duration(faultTime/2, faultTime))
+		w.sleep(w.duration(w.faults.time()/2, w.faults.time()))
 		w.request(func(o *simOwner) messenger.JobResponse {
 			return o.coordinator.Cancel(w.ctx, messenger.JobRequest{ID: cancelledJob, Queue: simQueue})
 		})
@@ -204,7 +225,7 @@
 			j.Steps = append(j.Steps, job.Step{TaskCount: 2, Size: size, Estimate: time.Second, After: []int{0}})
 		}
 		jobs = append(jobs, j)
-		delay := w.duration(0, faultTime)
+		delay := w.duration(0, w.faults.time())
 		go func() {
 			w.sleep(delay)
 			w.submit(j)
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -64,9 +64,10 @@
 )
 
 type (
-	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID.
+	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID. A slow world has longer
+	// runs and fewer takeovers, and its faults last longer.
 	simFaults struct {
-		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs bool
+		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, slow bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -92,6 +93,7 @@
 		entries map[string]*simOwner
 		owner   *simOwner
 		records simStore
+		cuts    []simCut
 		names   int
 		events  []simEvent
 		// starts and doneEnds hold, by task, the starts that took effect and the runs that have ended as done. failures holds the numbers of
