coordinator, elector: a VM counts as lost only if no other entry owned the jobs while its leases expired

What callers could see: a task that runs twice. A VM cannot send reports to the owner for 7 s. Just before these end, another entry takes over and hears the VM, so its runs go on. The former owner, which may be unaware of its successor for 2 s, counts the VM as lost and starts its tasks on VMs that it still reaches, and that the new owner does not.

Cause: silence of a VM proves that its leases have expired only if nobody but this owner can have renewed them. The owner looked at its own clock, not at the time at which it certainly still was the owner. The same holds for the wait after a takeover for VMs that have not listed their runs.

The new test of the coordinator fails with the previous condition.

Change: the elector tells when the entry certainly was the only owner, which is when the last read or append that the store answered was sent. The leases have to have expired by then. So a lost VM is noticed later by the age of that contact, less than 2 s while the owner may grant leases.

The tests of both packages pass.

--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -375,6 +375,19 @@
 		})
 
 		// Guards against a second run of a task while the first run may continue on a VM that is cut off from the network.
+		// Guards against a second run of a task: a later owner, of which this one does not know yet, hears the VM and lets its runs go on.
+		It("keeps the tasks of a silent VM until it is certain that no other entry owned the jobs while the leases expired", func() {
+			submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
+			cluster.simulate(time.Second)
+			for _, a := range cluster.agents {
+				a.silent = len(a.runs) > 0
+			}
+			cluster.timeSinceOwned = 900 * time.Millisecond
+			cluster.simulate(6 * time.Second)
+			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 1}), "the leases of 5.5 s had not expired when this entry certainly was the owner")
+			cluster.simulate(700 * time.Millisecond)
+			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 2}), "the fake agent has kept its run")
+		})
 		It("waits until the leases of a silent VM have expired before the tasks of that VM start elsewhere", func() {
 			submit(twoStepJob("a"))
 			cluster.simulate(200 * time.Millisecond)
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -51,6 +51,8 @@
 		coordinator *coordinator.Coordinator
 		// grantsUntil is zero while the owner has contact with the store.
 		grantsUntil time.Time
+		// succeededAt is when another owner took over, or the zero time.
+		succeededAt time.Time
 		resigned    chan struct{}
 		resignOnce  sync.Once
 		wake        chan struct{}
@@ -77,6 +79,7 @@
 	o.coordinator = &coordinator.Coordinator{
 		Agents: o, Journal: o, Clock: simClock{}, WallClock: simClock{}, Leases: simLeases,
 		Limits: coordinator.Limits{Retention: simRetention, MissTolerance: maxMissTime}, MayGrantLeases: o.mayGrantLeases,
+		OwnedAt: o.ownedAt,
 	}
 	var records []storekeeper.Record
 	w.locked(func(w *simWorld) {
@@ -84,6 +87,7 @@
 		w.records.epoch++
 		o.epoch, o.address, records = w.records.epoch, ownerAddresses[w.records.epoch%2], w.records.newestRecords()
 		if previous != nil {
+			previous.succeededAt = time.Now()
 			previous.grantsUntil = time.Now().Add(min(unaware, simLeases.Contact))
 			time.AfterFunc(unaware, previous.resign)
 		}
@@ -132,6 +136,15 @@
 	return o.grantsUntil.IsZero() || time.Now().Before(o.grantsUntil)
 }
 
+func (o *simOwner) ownedAt() time.Time {
+	o.world.mutex.Lock()
+	defer o.world.mutex.Unlock()
+	if o.succeededAt.IsZero() {
+		return time.Now()
+	}
+	return o.succeededAt
+}
+
 // Append implements coordinator.Journal.
 func (o *simOwner) Append(w committer.Write) {
 	o.mutex.Lock()
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -125,11 +125,13 @@
 
 // testCluster is a coordinator with a fake journal and fake agents.
 type testCluster struct {
-	clock                *clockwork.FakeClock
-	coordinator          *coordinator.Coordinator
-	journal              *journal
-	agents               map[string]*agent
-	mayGrantLeases       bool
+	clock          *clockwork.FakeClock
+	coordinator    *coordinator.Coordinator
+	journal        *journal
+	agents         map[string]*agent
+	mayGrantLeases bool
+	// timeSinceOwned is the time since this entry was certainly the owner.
+	timeSinceOwned       time.Duration
 	configurationVersion int64
 	queue                coordinator.Queue
 	// beforeResponse, unless nil, is called after an agent has executed starts, before the coordinator receives the response.
@@ -160,7 +162,8 @@
 		Agents: c, Journal: c.journal, Clock: c.clock, WallClock: c.clock, Log: zerolog.Nop(), Address: "entry",
 		Leases: coordinator.Leases{Grant: 2 * time.Second, Run: 3 * time.Second, Contact: time.Second, Drift: 500 * time.Millisecond},
 		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
-		Spawn: func(do func()) { do() },
+		OwnedAt: func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
+		Spawn:   func(do func()) { do() },
 	}
 	c.journal.coordinator, c.journal.pendingWrites, c.journal.blocked = c.coordinator, nil, false
 	c.coordinator.TakeOwnership(epoch, c.journal.newestRecords())
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -96,6 +96,9 @@
 		Address string
 		// MayGrantLeases reports whether agents may renew leases: it is true while no other entry can own the jobs.
 		MayGrantLeases func() bool
+		// OwnedAt returns the latest time at which certainly no other entry owned the jobs. A later owner renews leases, so the silence of a VM
+		// proves that its leases have expired only if no other entry owned the jobs until then.
+		OwnedAt func() time.Time
 		// Spawn runs a function in the background. If it is nil, the coordinator starts a goroutine.
 		Spawn func(func())
 
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -90,6 +90,7 @@
 		c.Journal.Notify()
 	}
 	someRunsUnknown := false
+	ownedAt := c.OwnedAt()
 	maxLeaseTime := c.Leases.Grant + c.Leases.Run + c.Leases.Drift
 	for name, v := range s.vms {
 		maxSilence, lastContact := maxLeaseTime, v.lastReportAt
@@ -100,13 +101,13 @@
 		if v.identifiedAt.After(lastContact) {
 			lastContact = v.identifiedAt
 		}
-		if now.Sub(lastContact) > maxSilence {
+		if ownedAt.Sub(lastContact) > maxSilence {
 			c.removeLostVM(name, v, now)
 			continue
 		}
 		// An agent that was restarted may send reports before it knows the runs at its endpoint. Such a report does not list them.
 		runsUnlisted := v.lastReportAt.IsZero() || !v.runsListed && v.reportedState != messenger.VMNotListening
-		someRunsUnknown = someRunsUnknown || runsUnlisted && now.Sub(s.takenOverAt) <= maxLeaseTime+c.Leases.Contact
+		someRunsUnknown = someRunsUnknown || runsUnlisted && ownedAt.Sub(s.takenOverAt) <= maxLeaseTime+c.Leases.Contact
 		if v.reportedState == messenger.VMDraining {
 			c.stopRunsToMove(v)
 		}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -300,6 +300,19 @@
 	return now.Sub(e.ownerContactAt) < e.StoreContactTimeout || e.othersDisconnected(now)
 }
 
+// OwnedAt returns the latest time at which certainly no other entry owned the jobs, or the zero time if this entry is not the owner.
+func (e *Elector) OwnedAt() time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.isOwner {
+		return time.Time{}
+	}
+	if now := e.Clock.Now(); e.othersDisconnected(now) {
+		return latest(e.ownerContactAt, now.Add(-e.StoreContactTimeout))
+	}
+	return e.ownerContactAt
+}
+
 // othersDisconnected reports whether every other entry that may run has told recently that it cannot have claimed the ownership, because it had no
 // contact with the store. A silent entry may have claimed it, unless it was already silent for long while this entry had contact with the store. So
 // may an entry that refuses connections, because a partition may refuse them in its place. The caller holds the mutex.
--- a/internal/fleet/elector/grant_test.go
+++ b/internal/fleet/elector/grant_test.go
@@ -30,12 +30,19 @@
 				if !owner.elector.MayGrantLeases() {
 					t.Error("the owner may not grant leases before the cut")
 				}
+				if age := time.Since(owner.elector.OwnedAt()); age > grantTime {
+					t.Errorf("before the cut, the owner does not know whether it owned the jobs in the last %v", age)
+				}
 				c.mutex.Lock()
 				owner.silent = true
 				c.mutex.Unlock()
 				cutAt := time.Now()
 				for time.Since(cutAt) < 40*time.Second {
 					time.Sleep(samplePeriod)
+					if owner.elector.OwnedAt().After(cutAt) {
+						t.Errorf("the owner takes itself for the only one %v after the cut", owner.elector.OwnedAt().Sub(cutAt))
+						break
+					}
 					if owner.elector.MayGrantLeases() && time.Since(cutAt) > grantTime {
 						t.Errorf("the owner may grant leases %v after the cut", time.Since(cutAt))
 						break
