--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -434,7 +434,6 @@
 			Expect(cluster.agents["vm-2"].runs).To(HaveLen(2))
 		})
 
-		// Guards against a second run of a task while the first run may continue on a VM that is cut off from the network.
 		// Guards against a second run of a task: a later owner, of which this one does not know yet, hears the VM and lets its runs go on.
 		It("keeps the tasks of a silent VM until it is certain that no other entry owned the jobs while the leases expired", func() {
 			submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: size}}})
@@ -448,6 +447,7 @@
 			cluster.simulate(700 * time.Millisecond)
 			Expect(cluster.countRuns()).To(Equal(map[string]int{"a.0.0.0": 2}), "the fake agent has kept its run")
 		})
+		// Guards against a second run of a task while the first run may continue on a VM that is cut off from the network.
 		It("waits until the leases of a silent VM have expired before the tasks of that VM start elsewhere", func() {
 			submit(twoStepJob("a"))
 			cluster.simulate(200 * time.Millisecond)
