--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -67,7 +67,7 @@
 	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID. A slow world has longer
 	// runs and fewer takeovers, and its faults last longer.
 	simFaults struct {
-		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, slow bool
+		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, slow, oddRows bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -409,7 +409,7 @@
 	p.ctx, p.kill = context.WithCancel(w.ctx)
 	p.attendant = &attendant.Attendant{
 		Address: a.vm, Generation: p.generation, Endpoint: &endpointClient{w.endpoints[a.vm], p}, Reporter: &simReporter{w}, Clock: simClock{},
-		LeaseDurations: attendant.LeaseDurations{Grant: simLeases.Grant, Run: simLeases.Run}, Seeds: ownerAddresses,
+		LeaseDurations: attendant.LeaseDurations{Grant: simLeases.Grant, Run: simLeases.Run}, StopTimeout: maxStopTime, Seeds: ownerAddresses,
 		Log: zerolog.New(simLog{w, p.generation, a.vm}),
 	}
 	a.process = p
