instance, history: runs end at the end of their lease, and delayed starts die with the process

A fake endpoint that got no calls kept runs beyond their lease, and a hold call extended the lease before it ended the runs that had lapsed. A delayed start was executed also after the process that had received it was killed. Runs now end at their time, events carry that time, and the event "noted" tells when an agent has taken note of an end within the lease. The check of the history of runs moves from tests/platform to internal/standin/history, so that other tests can use it; it finds what it found before.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -40,6 +40,12 @@
 	}
 )
 
+// BuildPrograms builds the programs of this module into a directory.
+func BuildPrograms(dir string) error {
+	output, err := exec.Command("go", "build", "-o", dir, "bamboohook/cmd/...").CombinedOutput()
+	return eris.Wrapf(err, "launcher: cannot build the programs: %s", output)
+}
+
 // Start starts a program of ProgramDir with args and returns the process. The output of the process is appended to the file
 // <name>.log in OutputDir.
 func (l *Launcher) Start(name, program string, args ...string) (*Process, error) {
--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -31,11 +32,12 @@
 	portReadiness     = 28005
 	portInternal      = 28010
 	internalPortCount = 6
-	// The configuration has a single route, from routeHost and routePrefix to routeService.
-	routeService      = "workers"
-	routeHost         = "jobs.example"
-	routePrefix       = "/batch/"
-	vmMilliProcessors = 8000
+	// RouteService is the service that runs the jobs. The configuration routes routeHost and routePrefix to it.
+	RouteService = "workers"
+	routeHost    = "jobs.example"
+	routePrefix  = "/batch/"
+	// VMMilliProcessors is the capacity of each VM.
+	VMMilliProcessors = 8000
 	vmMemoryMB        = 16000
 	// taskMemoryMB is the declared memory of each submitted task.
 	taskMemoryMB = 50
@@ -45,6 +47,8 @@
 	readyPollInterval = 20 * time.Millisecond
 )
 
+var memorySetting = regexp.MustCompile(`MemoryMb = \d+`)
+
 // Installation is a set of entries and VMs on a fake platform. Set the other exported fields before Start, which sets Store and
 // Instances.
 type Installation struct {
@@ -75,12 +79,12 @@
 	if err := serve(ctx, i.Store.Handler(), address(i.ip(0, 1), portStore)); err != nil {
 		return err
 	}
-	i.PublishConfiguration(routeService)
+	i.PublishConfiguration(RouteService)
 	for n := range i.VMs {
 		ip := i.ip(2, n+1)
 		e := &instance.Instance{
-			ID: fmt.Sprintf("i-%d", n), Service: routeService, Zone: "z", Rack: fmt.Sprintf("r%d", n/3), Address: address(ip, portEndpoint),
-			AgentAddress: address(ip, portControl), MilliProcessors: vmMilliProcessors, MemoryMB: vmMemoryMB, OnEvent: i.recordEvent,
+			ID: fmt.Sprintf("i-%d", n), Service: RouteService, Zone: "z", Rack: fmt.Sprintf("r%d", n/3), Address: address(ip, portEndpoint),
+			AgentAddress: address(ip, portControl), MilliProcessors: VMMilliProcessors, MemoryMB: vmMemoryMB, OnEvent: i.recordEvent,
 		}
 		if err := serve(ctx, e.Handler(), e.Address); err != nil {
 			return err
@@ -117,33 +121,50 @@
 	if _, err := fmt.Sscan(number, &n); err != nil {
 		return eris.Wrapf(err, "estate: invalid process name %s", name)
 	}
-	settingsFile := filepath.Join(i.OutputDir, name+".toml")
-	if err := os.WriteFile(settingsFile, []byte(i.settings(role, n)), 0o600); err != nil {
+	if err := os.WriteFile(i.settingsFile(name), []byte(i.settings(role, n)), 0o600); err != nil {
 		return eris.Wrap(err, "estate: cannot write the settings file")
 	}
-	_, err := i.launcher.Start(name, "bamboohook", "platform", role, settingsFile)
+	_, err := i.launcher.Start(name, "bamboohook", "platform", role, i.settingsFile(name))
 	return err
 }
 
+// ChangeMemory writes another memory limit to the settings file of a process. The next StartProcess restores the default.
+func (i *Installation) ChangeMemory(name string, megabytes int) error {
+	content, err := os.ReadFile(i.settingsFile(name))
+	if err != nil {
+		return eris.Wrap(err, "estate: cannot read the settings file")
+	}
+	changed := memorySetting.ReplaceAll(content, fmt.Appendf(nil, "MemoryMb = %d", megabytes))
+	return eris.Wrap(os.WriteFile(i.settingsFile(name), changed, 0o600), "estate: cannot write the settings file")
+}
+
+func (i *Installation) settingsFile(name string) string {
+	return filepath.Join(i.OutputDir, name+".toml")
+}
+
 // Process returns the process that was last started under the name, or nil if there is none.
 func (i *Installation) Process(name string) *launcher.Process { return i.launcher.Process(name) }
 
 // Stop kills all processes.
 func (i *Installation) Stop() { i.launcher.Close(0) }
 
-// PublishConfiguration publishes a configuration that routes the jobs to the service.
-func (i *Installation) PublishConfiguration(service string) {
+// PublishConfiguration publishes a configuration that routes the jobs to the service. Each of the prefixes gets a route of its own.
+func (i *Installation) PublishConfiguration(service string, prefixes ...string) {
 	i.mutex.Lock()
 	// Versions must increase, but need not be consecutive.
 	i.version += 3
 	version := i.version
 	i.mutex.Unlock()
+	var routes []map[string]any
+	for n, prefix := range append([]string{routePrefix}, prefixes...) {
+		routes = append(routes, map[string]any{
+			"Name": fmt.Sprintf("r%d", n), "Host": routeHost, "PathPrefix": prefix, "Kind": "non_idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 250,
+			"Priority": 0, "Service": service, "MaxAttempts": 3, "Stretch": 2.0,
+		})
+	}
 	i.Store.AppendRecord("keyed.op", "config", map[string]any{
-		"Version": version,
-		"Routes": []map[string]any{{
-			"Name": "r", "Host": routeHost, "PathPrefix": routePrefix, "Kind": "non_idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 250, "Priority": 0,
-			"Service": service, "MaxAttempts": 3, "Stretch": 2.0,
-		}},
+		"Version":  version,
+		"Routes":   routes,
 		"Services": []map[string]any{{"Name": service}},
 		"Limits":   map[string]any{"MaxBodyBytes": 65536},
 	})
@@ -172,9 +193,14 @@
 	}
 }
 
-// Call sends a caller's request to an entry and returns the status code, the header Retry-After and the body of the
+// Call sends a caller's request about a job to an entry and returns the status code, the header Retry-After and the body of the
 // response. A body that is neither nil nor a string is sent as JSON.
 func (i *Installation) Call(ctx context.Context, entry int, method, id string, body any) (status int, retryAfter, responseText string, err error) {
+	return i.CallPath(ctx, entry, method, routePrefix+id, body)
+}
+
+// CallPath is like Call, but takes the path of the request.
+func (i *Installation) CallPath(ctx context.Context, entry int, method, path string, body any) (status int, retryAfter, responseText string, err error) {
 	var content io.Reader
 	switch b := body.(type) {
 	case nil:
@@ -187,7 +213,7 @@
 		}
 		content = bytes.NewReader(encoded)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address(i.ip(1, entry+1), portFrontend)+routePrefix+id, content)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address(i.ip(1, entry+1), portFrontend)+path, content)
 	if err != nil {
 		return 0, "", "", eris.Wrap(err, "estate: cannot make a request")
 	}
@@ -212,6 +238,11 @@
 
 // Submit submits a job through the entry and reports whether it was accepted. Each task takes runTime.
 func (i *Installation) Submit(ctx context.Context, entry int, id string, runTime time.Duration, steps ...Step) bool {
+	return i.SubmitStatus(ctx, entry, id, runTime, steps...) == http.StatusOK
+}
+
+// SubmitStatus is like Submit, but returns the status code of the response, or 0 if there was none.
+func (i *Installation) SubmitStatus(ctx context.Context, entry int, id string, runTime time.Duration, steps ...Step) int {
 	var encodedSteps []map[string]any
 	for _, s := range steps {
 		encodedSteps = append(encodedSteps, map[string]any{
@@ -222,19 +253,31 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	status, _, _, err := i.Call(callCtx, entry, http.MethodPost, id, body)
-	return err == nil && status == http.StatusOK
+	if err != nil {
+		return 0
+	}
+	return status
 }
 
 // State returns the state of a job according to the entry, or "" if the entry does not return one.
 func (i *Installation) State(ctx context.Context, entry int, id string) string {
+	state, _ := i.StateStatus(ctx, entry, id)
+	return state
+}
+
+// StateStatus is like State, but also returns the status code of the response, or 0 if there was none.
+func (i *Installation) StateStatus(ctx context.Context, entry int, id string) (state string, status int) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	status, _, body, err := i.Call(callCtx, entry, http.MethodGet, id, nil)
 	var job struct{ State string }
-	if err != nil || status != http.StatusOK || json.Unmarshal([]byte(body), &job) != nil {
-		return ""
+	if err != nil {
+		return "", 0
+	}
+	if status != http.StatusOK || json.Unmarshal([]byte(body), &job) != nil {
+		return "", status
 	}
-	return job.State
+	return job.State, status
 }
 
 // JobsOwner returns the index of the entry that owns the jobs according to the store, or -1 if no entry does.
@@ -277,7 +320,7 @@
 	fmt.Fprintf(&b, "NodeName = %q\nRole = %q\nIp = %q\nZone = \"z\"\nInternalPorts = [%d,%d]\nSeedNodes = [%s]\n",
 		fmt.Sprintf("%s-%d", role, n), role, ip, portInternal, portInternal+internalPortCount, strings.Join(seeds, ","))
 	if role == "agent" {
-		fmt.Fprintf(&b, "app = %q\nService = %q\n", address(ip, portEndpoint), routeService)
+		fmt.Fprintf(&b, "app = %q\nService = %q\n", address(ip, portEndpoint), RouteService)
 	}
 	fmt.Fprintf(&b, "[ListenAddrs]\n")
 	if role == "entry" {
--- a/tests/platform/history_test.go
+++ b/internal/standin/history/history.go
@@ -1,4 +1,5 @@
-package platform_test
+// Package history checks what endpoints have seen of the runs of tasks.
+package history
 
 import (
 	"fmt"
@@ -10,6 +11,7 @@
 	eventStart      = "start"
 	eventDone       = "done"
 	eventResultLost = "result-lost"
+	eventNoted      = "noted"
 )
 
 // doneRun is a run that has completed its task.
@@ -18,10 +20,10 @@
 	run      int
 }
 
-// violations describes each start of a task that already runs, that is done, or whose job was not submitted. A task whose result was lost
+// Violations describes each start of a task that already runs, that is done, or whose job was not submitted. A task whose result was lost
 // with its instance before the owner had recorded it is not done, because nobody can know that it was. The first 16 bytes of a task ID are
 // the ID of its job.
-func violations(events []instance.Event, submitted map[string]bool) []string {
+func Violations(events []instance.Event, submitted map[string]bool) []string {
 	var problems []string
 	runningAt, doneAt := map[string]string{}, map[string]doneRun{}
 	for _, e := range events {
@@ -37,6 +39,7 @@
 				problems = append(problems, fmt.Sprintf("start after completion: %s", e))
 			}
 			runningAt[e.Task] = e.Instance
+		case eventNoted:
 		case eventResultLost:
 			if doneAt[e.Task] == (doneRun{e.Instance, e.Run}) {
 				delete(doneAt, e.Task)
--- /dev/null
+++ b/internal/standin/history/suite_test.go
@@ -0,0 +1,13 @@
+package history_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHistory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "History")
+}
--- a/internal/standin/instance/instance.go
+++ b/internal/standin/instance/instance.go
@@ -61,18 +61,22 @@
 		heartbeatSequence int64
 		draining          bool
 		killed            bool
+		// lapsedSequence is the sequence number of the last result that was already there when the lease expired.
+		lapsedSequence int64
 		// delayedStartShare is the share of starts, from 0 to 1, that get no response and are executed later.
 		delayedStartShare float64
 	}
 
 	// Event is the start or the end of a run at an instance.
 	Event struct {
+		// Time is the time at which the run started or ended. The event may be emitted a little later.
 		Time     time.Time
 		Instance string
 		Task     string
 		Run      int
 		// Kind is "start" for a start, and "done", "failed", "stopped", "lapsed" (lease expired) or "crash" for an end. It is "result-lost" if
-		// the instance was restarted before an agent allowed it to discard the result of a run that had ended.
+		// the instance was restarted before an agent allowed it to discard the result of a run that had ended. It is "noted" when an agent allows
+		// the instance to discard a result and the lease has not expired since the run ended.
 		Kind string
 	}
 
@@ -101,6 +105,7 @@
 // Run sends heartbeats until ctx is done. The caller must serve Handler at Address.
 func (i *Instance) Run(ctx context.Context) error {
 	i.Restart()
+	go i.endRunsUntil(ctx)
 	client := &http.Client{Timeout: heartbeatTimeout}
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -114,6 +119,17 @@
 	}
 }
 
+// endRunsUntil ends runs at their time until ctx is done. Without it, the runs of an instance that gets no calls would outlast
+// their lease.
+func (i *Instance) endRunsUntil(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		<-ticker.C
+		i.RunCount()
+	}
+}
+
 // Restart simulates a restart of the process: all runs end and all state is lost.
 func (i *Instance) Restart() {
 	i.mutex.Lock()
@@ -124,6 +140,7 @@
 	for _, result := range i.results {
 		i.emitEvent(result[1].(string), result[2].(int), "result-lost")
 	}
+	i.leaseExpiry, i.lapsedSequence = time.Time{}, 0
 	i.startTime, i.fencingToken, i.nextSequence, i.heartbeatSequence = time.Now(), 0, 1, 0
 	i.runs, i.highestRuns, i.results = map[string]*run{}, map[string]int{}, nil
 	i.draining, i.killed = false, false
@@ -231,19 +248,23 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	i.mutex.Lock()
-	delayed := rand.Float64() < i.delayedStartShare
+	delayed, startTime := rand.Float64() < i.delayedStartShare, i.startTime
 	i.mutex.Unlock()
 	if delayed {
-		time.AfterFunc(time.Second+rand.N(3*time.Second), func() { i.startRun(q) })
+		time.AfterFunc(time.Second+rand.N(3*time.Second), func() { i.startRun(q, startTime) })
 		return hang(c)
 	}
-	return i.respond(c, i.startRun(q))
+	return i.respond(c, i.startRun(q, startTime))
 }
 
-// startRun starts a run. It returns the reason if the start is refused, and "" otherwise.
-func (i *Instance) startRun(q callRequest) string {
+// startRun starts a run. It returns the reason if the start is refused, and "" otherwise. A start that the process received before it
+// was killed or restarted, at startTime, has no effect.
+func (i *Instance) startRun(q callRequest, startTime time.Time) string {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	if i.killed || !startTime.Equal(i.startTime) {
+		return "late"
+	}
 	i.endFinishedRuns()
 	if q.FencingToken < i.fencingToken {
 		return "fence"
@@ -292,7 +313,7 @@
 	i.fencingToken = q.FencingToken
 	i.highestRuns[q.Task] = max(i.highestRuns[q.Task], q.Run)
 	if r, ok := i.runs[q.Task]; ok && r.number <= q.Run {
-		i.endRun(q.Task, r, "stopped")
+		i.endRun(q.Task, r, "stopped", time.Now())
 	}
 	return i.respond(c, "")
 }
@@ -325,11 +346,9 @@
 			return i.respond(c, "fence")
 		}
 		i.fencingToken = q.FencingToken
-		i.extendLeases(q.DeadlineMs)
 		i.endFinishedRuns()
-		for len(i.results) > 0 && i.results[0][0].(int64) <= q.LastSeen {
-			i.results = i.results[1:]
-		}
+		i.extendLeases(q.DeadlineMs)
+		i.discardResults(q.LastSeen)
 		if len(i.results) > 0 || !time.Now().Before(deadline) || c.Request().Context().Err() != nil {
 			break
 		}
@@ -345,6 +364,17 @@
 	return c.JSON(http.StatusOK, map[string]any{"ClockMs": i.clockMillis(), "born": i.startTime.UnixMilli(), "Running": rows, "Ended": i.results})
 }
 
+// discardResults discards the results up to the sequence number lastSeen. The caller holds the mutex.
+func (i *Instance) discardResults(lastSeen int64) {
+	for len(i.results) > 0 && i.results[0][0].(int64) <= lastSeen {
+		result := i.results[0]
+		i.results = i.results[1:]
+		if result[0].(int64) > i.lapsedSequence {
+			i.emitEvent(result[1].(string), result[2].(int), "noted")
+		}
+	}
+}
+
 // respond responds with status 200 if reason is empty, and otherwise with status 409 and the reason for the refusal.
 func (i *Instance) respond(c echo.Context, reason string) error {
 	status := http.StatusOK
@@ -358,28 +388,32 @@
 func (i *Instance) endFinishedRuns() {
 	now := time.Now()
 	for task, r := range i.runs {
+		finish := r.startTime.Add(r.runTime)
 		switch {
-		case now.After(i.leaseExpiry):
-			i.endRun(task, r, "lapsed")
-		case now.Sub(r.startTime) < r.runTime:
+		case now.After(i.leaseExpiry) && finish.After(i.leaseExpiry):
+			i.endRun(task, r, "lapsed", i.leaseExpiry)
+		case finish.After(now):
 		case i.ShouldFail != nil && i.ShouldFail(task, r.number):
-			i.endRun(task, r, "failed")
+			i.endRun(task, r, "failed", finish)
 		default:
-			i.endRun(task, r, "done")
+			i.endRun(task, r, "done", finish)
 		}
 	}
 }
 
-func (i *Instance) endRun(task string, r *run, outcome string) {
+func (i *Instance) endRun(task string, r *run, outcome string, endTime time.Time) {
 	delete(i.runs, task)
 	i.results = append(i.results, []any{i.nextSequence, task, r.number, outcome, ""})
 	i.nextSequence++
-	i.emitEvent(task, r.number, outcome)
+	i.emitEventAt(endTime, task, r.number, outcome)
 }
 
 // extendLeases moves the expiry of all leases to the deadline, which is in milliseconds on the instance's clock, but at most to maxLease from now.
 // It never shortens a lease. The caller holds the mutex.
 func (i *Instance) extendLeases(deadlineMillis int64) {
+	if time.Now().After(i.leaseExpiry) {
+		i.lapsedSequence = i.nextSequence - 1
+	}
 	expiry := i.startTime.Add(time.Duration(deadlineMillis) * time.Millisecond)
 	if latest := time.Now().Add(maxLease); expiry.After(latest) {
 		expiry = latest
@@ -392,8 +426,12 @@
 func (i *Instance) clockMillis() int64 { return time.Since(i.startTime).Milliseconds() }
 
 func (i *Instance) emitEvent(task string, number int, kind string) {
+	i.emitEventAt(time.Now(), task, number, kind)
+}
+
+func (i *Instance) emitEventAt(t time.Time, task string, number int, kind string) {
 	if i.OnEvent != nil {
-		i.OnEvent(Event{time.Now(), i.ID, task, number, kind})
+		i.OnEvent(Event{t, i.ID, task, number, kind})
 	}
 }
 
--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"bamboohook/internal/standin/estate"
+	"bamboohook/internal/standin/history"
 	"bamboohook/internal/standin/metastore"
 )
 
@@ -170,7 +171,7 @@
 				Eventually(func() string { return l.state(ctx, id) }).WithTimeout(completionTimeout).WithPolling(50*time.Millisecond).
 					Should(Equal("completed"), "job %s", id)
 			}
-			Expect(violations(i.Events(), l.submitted)).To(BeEmpty())
+			Expect(history.Violations(i.Events(), l.submitted)).To(BeEmpty())
 		}, NodeTimeout(2*time.Minute))
 	}
 })
--- a/tests/platform/suite_test.go
+++ b/tests/platform/suite_test.go
@@ -3,11 +3,12 @@
 package platform_test
 
 import (
-	"os/exec"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bamboohook/internal/launcher"
 )
 
 // programDir contains the programs, which are built once for the suite.
@@ -16,9 +17,8 @@
 func TestPlatform(t *testing.T) {
 	RegisterFailHandler(Fail)
 	programDir = t.TempDir()
-	output, err := exec.Command("go", "build", "-o", programDir, "bamboohook/cmd/...").CombinedOutput()
-	if err != nil {
-		t.Fatalf("cannot build the programs: %v\n%s", err, output)
+	if err := launcher.BuildPrograms(programDir); err != nil {
+		t.Fatal(err)
 	}
 	RunSpecs(t, "Jobs on the platform")
 }
