coordinator: the test of second runs suspends agents and owners

Agents and owners stand still for 1 to 9 s: they send and receive nothing, while their clocks go on. Of the calls that time out meanwhile, half are still sent afterwards, since a suspension may begin between the last check of the timeout and the sending. Most takeovers begin with a suspended owner, which learns of its successor after it has gone on. The test now has three entries, so that a suspended one never takes over. Slow worlds have more time after the faults, because their longer runs were not all done after 30 s.

--- a/internal/batch/coordinator/exclusion_endpoint_test.go
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -268,9 +268,10 @@
 func (c *endpointClient) call(ctx context.Context, task string, rates callFaults, execute func(p *endpointProcess, origin string) error) error {
 	w := c.endpoint.world
 	w.pause(ctx, minCallDelay, maxCallDelay)
-	if ctx.Err() != nil {
-		return ctx.Err()
+	if err := c.agent.suspension.waitToSend(ctx, c.agent.ctx, w); err != nil {
+		return err
 	}
+	defer c.agent.suspension.wait(c.agent.ctx, w)
 	var err error
 	var late, lost bool
 	w.locked(func(w *simWorld) {
@@ -343,6 +344,7 @@
 	if err != nil || !waits {
 		return answer, err
 	}
+	defer c.agent.suspension.wait(c.agent.ctx, w)
 	timer := time.NewTimer(q.MaxWait)
 	defer timer.Stop()
 	select {
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -33,7 +33,7 @@
 	errNotReachable = eris.New("connection refused")
 	// simLeases holds the durations of internal/cli/platform.go.
 	simLeases      = coordinator.Leases{Grant: 2500 * time.Millisecond, Run: 4 * time.Second, Contact: 2 * time.Second, Drift: 500 * time.Millisecond}
-	ownerAddresses = []string{"owner-a", "owner-b"}
+	ownerAddresses = []string{"owner-a", "owner-b", "owner-c"}
 )
 
 type (
@@ -49,6 +49,7 @@
 		address     string
 		epoch       uint64
 		coordinator *coordinator.Coordinator
+		suspension  suspension
 		// grantsUntil is zero while the owner has contact with the store.
 		grantsUntil time.Time
 		// succeededAt is when another owner took over, or the zero time.
@@ -60,8 +61,11 @@
 		queue       []committer.Write
 	}
 
-	// simReporter sends reports over the network.
-	simReporter struct{ world *simWorld }
+	// simReporter sends reports of an agent process over the network.
+	simReporter struct {
+		world *simWorld
+		agent *agentProcess
+	}
 )
 
 // newestRecords returns the newest record of each key.
@@ -85,8 +89,10 @@
 	w.locked(func(w *simWorld) {
 		previous := w.owner
 		w.records.epoch++
-		o.epoch, o.address, records = w.records.epoch, ownerAddresses[w.records.epoch%2], w.records.newestRecords()
+		o.epoch, o.address, records = w.records.epoch, w.nextAddress(), w.records.newestRecords()
 		if previous != nil {
+			// A suspended owner learns of its successor after it has gone on.
+			unaware += max(0, time.Until(previous.suspension.until))
 			previous.succeededAt = time.Now()
 			previous.grantsUntil = time.Now().Add(min(unaware, simLeases.Contact))
 			time.AfterFunc(unaware, previous.resign)
@@ -97,7 +103,7 @@
 		}
 	})
 	o.coordinator.Address = o.address
-	o.coordinator.Log = zerolog.New(simLog{world: w, name: fmt.Sprint("owner of epoch ", o.epoch)})
+	o.coordinator.Log = zerolog.New(simLog{world: w, name: o.name()})
 	o.coordinator.Configure(1, map[string]coordinator.Queue{
 		simQueue: {Queue: dispatcher.Queue{Service: "s", Attempts: simAttempts, Stretch: 2, Target: time.Second}},
 	})
@@ -107,6 +113,8 @@
 	go o.writeLoop()
 }
 
+func (o *simOwner) name() string { return fmt.Sprint("owner of epoch ", o.epoch) }
+
 func (w *simWorld) presentOwner() *simOwner {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -173,6 +181,7 @@
 			return
 		case <-o.wake:
 		}
+		o.suspension.wait(w.ctx, w)
 		w.pause(w.ctx, 0, maxStoreDelay)
 		o.mutex.Lock()
 		writes := o.queue
@@ -204,6 +213,7 @@
 			}
 		}
 		w.pause(w.ctx, 0, maxStoreDelay)
+		o.suspension.wait(w.ctx, w)
 		for _, batch := range writes {
 			batch.Done(err)
 		}
@@ -267,9 +277,10 @@
 
 // SendReport implements attendant.Reporter.
 func (s *simReporter) SendReport(ctx context.Context, entry string, r messenger.Report) (messenger.ReportResponse, error) {
-	if ctx.Err() != nil {
-		return messenger.ReportResponse{}, ctx.Err()
+	if err := s.agent.suspension.waitToSend(ctx, s.agent.ctx, s.world); err != nil {
+		return messenger.ReportResponse{}, err
 	}
+	defer s.agent.suspension.wait(s.agent.ctx, s.world)
 	sentAt := time.Now()
 	return deliver(ctx, s.world, simLink{r.VM, entry, true}, func() (messenger.ReportResponse, bool, error) {
 		if time.Since(sentAt) > maxMessageDelay {
@@ -289,10 +300,12 @@
 		// The entry has never been the owner, but knows it.
 		return messenger.ReportResponse{Owner: owner.address, Epoch: owner.epoch, Entries: ownerAddresses}, true, nil
 	}
+	o.suspension.wait(w.ctx, w)
 	if r.Epoch > o.epoch {
 		o.resign()
 	}
 	response := o.coordinator.Report(r)
+	defer o.suspension.wait(w.ctx, w)
 	if !o.isResigned() {
 		owner = o
 	}
@@ -306,9 +319,10 @@
 // SendOrders implements coordinator.Agents.
 func (o *simOwner) SendOrders(ctx context.Context, vm string, orders messenger.Orders) (messenger.OrdersResponse, error) {
 	w := o.world
-	if ctx.Err() != nil {
-		return messenger.OrdersResponse{}, ctx.Err()
+	if err := o.suspension.waitToSend(ctx, w.ctx, w); err != nil {
+		return messenger.OrdersResponse{}, err
 	}
+	defer o.suspension.wait(w.ctx, w)
 	sentAt := time.Now()
 	w.locked(func(w *simWorld) {
 		for _, s := range orders.Starts {
@@ -324,9 +338,11 @@
 		if p == nil {
 			return messenger.OrdersResponse{}, true, errNotReachable
 		}
+		p.suspension.wait(p.ctx, w)
 		callCtx, cancel := context.WithTimeout(p.ctx, orderHandlingTimeout)
 		defer cancel()
 		response := p.attendant.HandleOrders(callCtx, orders)
+		p.suspension.wait(p.ctx, w)
 		w.locked(func(w *simWorld) { w.logResponse(p, orders, response, sentAt) })
 		return response, p.ctx.Err() == nil, nil
 	})
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -34,7 +34,9 @@
 	// faultTime is how long the faults of a world last, longFaultTime that of a slow one. recoveryTime is how long it goes on without faults.
 	faultTime     = 16 * time.Second
 	longFaultTime = 40 * time.Second
-	recoveryTime  = 30 * time.Second
+	// longRecoveryTime is the recovery time of a slow world. Its runs take longer, so more of them remain to be done.
+	longRecoveryTime = 90 * time.Second
+	recoveryTime     = 30 * time.Second
 	// watchPeriod is the time between two looks for a violation, which ends the world early.
 	watchPeriod = 100 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
@@ -52,23 +54,26 @@
 )
 
 // Guards against a second run of a task while the first one still runs or after it has ended as done. Calls to the endpoints are carried out
-// seconds late or lose their answers, messages are delayed, VMs are cut off from owners, and processes of all kinds are replaced meanwhile.
+// seconds late or lose their answers, messages are delayed, VMs are cut off from owners, processes are suspended, and processes of all kinds are replaced meanwhile.
 func TestTaskNeverRunsTwice(t *testing.T) {
 	for name, faults := range map[string]simFaults{
-		"agent kills and late calls":       {agentKills: true, lateCalls: true},
-		"takeovers and late calls":         {takeovers: true, lateCalls: true},
-		"late messages and agent kills":    {lateMessages: true, agentKills: true},
-		"endpoint crashes and late calls":  {crashes: true, lateCalls: true},
-		"rebirths with IDs and late calls": {crashes: true, sameIDs: true, lateCalls: true},
-		"all kinds of faults at once":      {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true, sameIDs: true},
-		"all kinds of faults with new IDs": {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
-		"takeovers and agent kills":        {takeovers: true, agentKills: true},
-		"takeovers and late messages":      {takeovers: true, lateMessages: true},
-		"late calls without other faults":  {lateCalls: true},
-		"late calls and late messages":     {lateCalls: true, lateMessages: true},
-		"cuts and takeovers":               {slow: true, cuts: true, takeovers: true},
-		"cuts with other faults":           {slow: true, cuts: true, takeovers: true, agentKills: true, lateCalls: true},
-		"no faults, which checks the test": {},
+		"agent kills and late calls":        {agentKills: true, lateCalls: true},
+		"takeovers and late calls":          {takeovers: true, lateCalls: true},
+		"late messages and agent kills":     {lateMessages: true, agentKills: true},
+		"endpoint crashes and late calls":   {crashes: true, lateCalls: true},
+		"rebirths with IDs and late calls":  {crashes: true, sameIDs: true, lateCalls: true},
+		"all kinds of faults at once":       {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true, sameIDs: true},
+		"all kinds of faults with new IDs":  {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
+		"takeovers and agent kills":         {takeovers: true, agentKills: true},
+		"takeovers and late messages":       {takeovers: true, lateMessages: true},
+		"late calls without other faults":   {lateCalls: true},
+		"late calls and late messages":      {lateCalls: true, lateMessages: true},
+		"cuts and takeovers":                {slow: true, cuts: true, takeovers: true},
+		"cuts with other faults":            {slow: true, cuts: true, takeovers: true, agentKills: true, lateCalls: true},
+		"suspended processes and takeovers": {slow: true, suspensions: true, takeovers: true},
+		"suspended processes, late calls":   {slow: true, suspensions: true, takeovers: true, lateCalls: true, agentKills: true},
+		"suspended processes and cuts":      {slow: true, suspensions: true, takeovers: true, cuts: true, lateMessages: true},
+		"no faults, which checks the test":  {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -139,7 +144,7 @@
 	}
 	go w.takeOvers()
 	jobs := w.submitJobs()
-	for time.Since(w.startedAt) < w.faults.time()+recoveryTime && !w.violated() {
+	for time.Since(w.startedAt) < w.faults.time()+w.faults.recoveryTime() && !w.violated() {
 		w.sleep(watchPeriod)
 		if time.Since(w.startedAt) >= w.faults.time() {
 			w.locked(func(w *simWorld) { w.calm = true })
@@ -161,6 +166,14 @@
 	return faultTime
 }
 
+// recoveryTime returns how long the world goes on after its faults.
+func (f simFaults) recoveryTime() time.Duration {
+	if f.slow {
+		return longRecoveryTime
+	}
+	return recoveryTime
+}
+
 // injectFaults kills the agent and the endpoint of a VM from time to time.
 func (w *simWorld) injectFaults(e *simEndpoint, a *simAgent) {
 	if w.faults.agentKills {
@@ -170,6 +183,9 @@
 			}
 		})
 	}
+	if w.faults.suspensions {
+		go w.suspendSometimes(a)
+	}
 	if w.faults.cuts {
 		go w.cutOffSometimes(e.vm)
 	}
@@ -181,6 +197,7 @@
 // repeat calls do with the mutex locked, again and again after periods between the two limits, until the faults end.
 func (w *simWorld) repeat(shortest, longest time.Duration, do func(w *simWorld)) {
 	for w.sleep(w.duration(shortest, longest)) {
+		w.suspendOwner()
 		calm := false
 		w.locked(func(w *simWorld) {
 			if calm = w.calm; !calm {
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -67,7 +67,7 @@
 	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID. A slow world has longer
 	// runs and fewer takeovers, and its faults last longer.
 	simFaults struct {
-		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, slow bool
+		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -132,6 +132,7 @@
 		vm         string
 		generation string
 		attendant  *attendant.Attendant
+		suspension suspension
 		ctx        context.Context
 		kill       context.CancelFunc
 	}
@@ -390,6 +391,7 @@
 			}
 		})
 		if a != nil {
+			a.suspension.wait(a.ctx, w)
 			a.attendant.HandleHeartbeat(h)
 		}
 	}
@@ -402,7 +404,7 @@
 	p := &agentProcess{vm: a.vm, generation: w.name(a.vm + "/agent")}
 	p.ctx, p.kill = context.WithCancel(w.ctx)
 	p.attendant = &attendant.Attendant{
-		Address: a.vm, Generation: p.generation, Endpoint: &endpointClient{w.endpoints[a.vm], p}, Reporter: &simReporter{w}, Clock: simClock{},
+		Address: a.vm, Generation: p.generation, Endpoint: &endpointClient{w.endpoints[a.vm], p}, Reporter: &simReporter{w, p}, Clock: simClock{},
 		LeaseDurations: attendant.LeaseDurations{Grant: simLeases.Grant, Run: simLeases.Run}, Seeds: ownerAddresses,
 		Log: zerolog.New(simLog{w, p.generation, a.vm}),
 	}
