coordinator: the runs of a gang have the same number

What callers could see: a job with a gang of two or more tasks never ends. All its runs end as "alone", again and again (rule GANG).

Cause: the endpoints let only runs with the same number work together. The owner gave each member a number above those of all members, and so above the one that it had just given to the member before it. Tests checked where gangs are placed, but not the numbers.

Change: the number of a gang's next runs is determined once for each placement of the gang.

--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -222,8 +222,16 @@
 		v := coordinatorVMs[d]
 		return c.queueOf(t.Step.Job).Advised && v.validTicket(t.Step, now) == ""
 	}
+	gangNumbers := map[*bookkeeper.Step]int{}
 	for _, p := range s.dispatcher.Plan(now, steps, queues, vms) {
-		c.addRun(p, coordinatorVMs[p.VM], now)
+		number := p.Task.NextRunNumber()
+		if step := p.Task.Step; step.Gang {
+			if gangNumbers[step] == 0 {
+				gangNumbers[step] = nextGangRunNumber(step)
+			}
+			number = gangNumbers[step]
+		}
+		c.addRun(p, coordinatorVMs[p.VM], number, now)
 	}
 }
 
@@ -251,18 +259,19 @@
 	return !v.hasUnknownRuns
 }
 
-// addRun adds a run for a placement. In a gang, the number of the run is above those of all earlier runs of the gang's tasks.
-func (c *Coordinator) addRun(p dispatcher.Placement, v *vm, now time.Time) {
+// nextGangRunNumber returns the number of the next runs of a gang, which is above those of all earlier runs of its tasks. The endpoints let only
+// runs with the same number work together.
+func nextGangRunNumber(s *bookkeeper.Step) int {
+	number := 0
+	for _, member := range s.Tasks {
+		number = max(number, member.NextRunNumber())
+	}
+	return number
+}
+
+// addRun adds a run with the number for a placement.
+func (c *Coordinator) addRun(p dispatcher.Placement, v *vm, number int, now time.Time) {
 	t := p.Task
-	number := t.NextRunNumber()
-	if t.Step.Gang {
-		for _, member := range t.Step.Tasks {
-			number = max(number, member.NextRunNumber())
-		}
-		for _, member := range t.Step.Tasks {
-			member.SkipRunNumbersTo(number - 1)
-		}
-	}
 	c.Meter.Count("starts")
 	c.state.jobs.RunOrdered(t, number)
 	x := &run{
