coordinator: the test of second runs plays steps, gangs, checkpoints and drains

In the new classes each job has a step, a gang after it and a last step after both. Half of the steps produce checkpoints. Endpoints announce their end, and end 0.5 to 5 s later. The gangs follow the protocol: their members work once all runs with one number are present, end as done together, as broken when another member has ended, and as alone after 3 s.

Checked in all classes: no run starts before all tasks of the steps before it have ended as done (rule ORDER), a start carries no checkpoint that no run of the task or gang has produced, and the members of a gang start with the same checkpoint.

Not played: a start resumes from its checkpoint (runs take as long with one), and waiting members of a gang produce checkpoints too.

--- a/internal/batch/coordinator/exclusion_endpoint_test.go
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -65,12 +65,15 @@
 		contacted bool
 		// heartbeats is the number of heartbeats sent.
 		heartbeats int64
+		draining   bool
 	}
 
 	endpointRun struct {
 		messenger.Run
 		startedAt time.Time
 		stopping  bool
+		// resumedFrom is the checkpoint in the start.
+		resumedFrom string
 	}
 
 	// endpointClient is the connection of one agent process to the endpoint on its VM.
@@ -154,10 +157,14 @@
 		return eris.Wrap(attendant.ErrRefused, "old")
 	}
 	w := p.endpoint.world
-	r := &endpointRun{Run: messenger.Run{Task: c.Task, Number: c.Number}, startedAt: time.Now()}
+	r := &endpointRun{Run: messenger.Run{Task: c.Task, Number: c.Number, Checkpoint: c.Checkpoint}, startedAt: time.Now(), resumedFrom: c.Checkpoint}
 	p.runs[c.Task] = r
 	w.log(c.Task, "%s starts run %d (token %d, %s)", p.id, c.Number, c.FencingToken, origin)
 	w.runStarted(p, r)
+	w.checkStart(c.Task, c.Checkpoint)
+	if w.joinGang(p, r) {
+		return nil
+	}
 	outcome, duration := w.drawRun(c.Task, c.Number)
 	if outcome != "" {
 		time.AfterFunc(duration, func() {
@@ -197,14 +204,18 @@
 // end ends the run of a task and adds its result.
 func (p *endpointProcess) end(task, outcome string) {
 	r := p.runs[task]
+	p.saveCheckpoint(r)
 	delete(p.runs, task)
 	p.highestEnded[task] = max(p.highestEnded[task], r.Number)
 	p.lastSequence++
-	p.results = append(p.results, messenger.RunResult{Sequence: p.lastSequence, Task: task, Number: r.Number, Outcome: outcome})
+	p.results = append(p.results, messenger.RunResult{Sequence: p.lastSequence, Task: task, Number: r.Number, Outcome: outcome, Checkpoint: r.Checkpoint})
 	close(p.resultAdded)
 	p.resultAdded = make(chan struct{})
 	p.endpoint.world.log(task, "%s: run %d ends as %s, result %d", p.id, r.Number, outcome, p.lastSequence)
 	p.endpoint.world.runEnded(p, r, outcome, p.lastSequence)
+	if outcome != messenger.RunDone {
+		p.endpoint.world.breakGang(r)
+	}
 }
 
 // stop executes a stop. The run ends within maxStopTime.
@@ -246,6 +257,7 @@
 func (p *endpointProcess) listing() attendant.Listing {
 	l := attendant.Listing{Incarnation: p.incarnation(), ClockMS: p.clockMS(), Results: append([]messenger.RunResult{}, p.results...)}
 	for _, r := range p.runs {
+		p.saveCheckpoint(r)
 		listed := r.Run
 		if time.Since(r.startedAt) > startupTime && p.endpoint.world.isLongRunning(r.Task) {
 			listed.Progress = 100
@@ -260,7 +272,7 @@
 	p.heartbeats++
 	return attendant.Heartbeat{
 		EndpointID: p.id, Incarnation: p.incarnation(), Sequence: p.heartbeats, Service: "s", Rack: "r",
-		Capacity: resource.Amount{MilliProcessors: vmProcessors, MemoryBytes: vmProcessors},
+		Capacity: resource.Amount{MilliProcessors: vmProcessors, MemoryBytes: vmProcessors}, Draining: p.draining,
 	}
 }
 
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -57,23 +57,25 @@
 // seconds late or lose their answers, messages are delayed, VMs are cut off from owners, processes are suspended, and processes of all kinds are replaced meanwhile.
 func TestTaskNeverRunsTwice(t *testing.T) {
 	for name, faults := range map[string]simFaults{
-		"agent kills and late calls":        {agentKills: true, lateCalls: true},
-		"takeovers and late calls":          {takeovers: true, lateCalls: true},
-		"late messages and agent kills":     {lateMessages: true, agentKills: true},
-		"endpoint crashes and late calls":   {crashes: true, lateCalls: true},
-		"rebirths with IDs and late calls":  {crashes: true, sameIDs: true, lateCalls: true},
-		"all kinds of faults at once":       {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true, sameIDs: true},
-		"all kinds of faults with new IDs":  {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
-		"takeovers and agent kills":         {takeovers: true, agentKills: true},
-		"takeovers and late messages":       {takeovers: true, lateMessages: true},
-		"late calls without other faults":   {lateCalls: true},
-		"late calls and late messages":      {lateCalls: true, lateMessages: true},
-		"cuts and takeovers":                {slow: true, cuts: true, takeovers: true},
-		"cuts with other faults":            {slow: true, cuts: true, takeovers: true, agentKills: true, lateCalls: true},
-		"suspended processes and takeovers": {slow: true, suspensions: true, takeovers: true},
-		"suspended processes, late calls":   {slow: true, suspensions: true, takeovers: true, lateCalls: true, agentKills: true},
-		"suspended processes and cuts":      {slow: true, suspensions: true, takeovers: true, cuts: true, lateMessages: true},
-		"no faults, which checks the test":  {},
+		"agent kills and late calls":          {agentKills: true, lateCalls: true},
+		"takeovers and late calls":            {takeovers: true, lateCalls: true},
+		"late messages and agent kills":       {lateMessages: true, agentKills: true},
+		"endpoint crashes and late calls":     {crashes: true, lateCalls: true},
+		"rebirths with IDs and late calls":    {crashes: true, sameIDs: true, lateCalls: true},
+		"all kinds of faults at once":         {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true, sameIDs: true},
+		"all kinds of faults with new IDs":    {agentKills: true, lateCalls: true, takeovers: true, lateMessages: true, crashes: true},
+		"takeovers and agent kills":           {takeovers: true, agentKills: true},
+		"takeovers and late messages":         {takeovers: true, lateMessages: true},
+		"late calls without other faults":     {lateCalls: true},
+		"late calls and late messages":        {lateCalls: true, lateMessages: true},
+		"cuts and takeovers":                  {slow: true, cuts: true, takeovers: true},
+		"cuts with other faults":              {slow: true, cuts: true, takeovers: true, agentKills: true, lateCalls: true},
+		"suspended processes and takeovers":   {slow: true, suspensions: true, takeovers: true},
+		"suspended processes, late calls":     {slow: true, suspensions: true, takeovers: true, lateCalls: true, agentKills: true},
+		"suspended processes and cuts":        {slow: true, suspensions: true, takeovers: true, cuts: true, lateMessages: true},
+		"steps, gangs and drains":             {steps: true, takeovers: true, agentKills: true},
+		"steps, gangs, drains and late calls": {steps: true, takeovers: true, lateCalls: true, lateMessages: true},
+		"no faults, which checks the test":    {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -124,6 +126,7 @@
 	w := &simWorld{
 		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
 		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
+		jobs: map[string]job.Job{}, checkpoints: map[string]map[string]struct{}{},
 		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[int]struct{}{},
 	}
 	if faults.lateCalls {
@@ -183,6 +186,9 @@
 			}
 		})
 	}
+	if w.faults.steps {
+		go w.repeat(minDrainPeriod, maxDrainPeriod, func(w *simWorld) { w.drain(e) })
+	}
 	if w.faults.suspensions {
 		go w.suspendSometimes(a)
 	}
@@ -241,6 +247,10 @@
 		if n%3 == 0 {
 			j.Steps = append(j.Steps, job.Step{TaskCount: 2, Size: size, Estimate: time.Second, After: []int{0}})
 		}
+		if w.faults.steps {
+			j = addSteps(j, n)
+		}
+		w.locked(func(w *simWorld) { w.jobs[j.ID] = j })
 		jobs = append(jobs, j)
 		delay := w.duration(0, w.faults.time())
 		go func() {
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -64,10 +64,11 @@
 )
 
 type (
-	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID. A slow world has longer
+	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID. With steps, all jobs have steps after one another, gangs and
+	// checkpoints, and endpoints drain. A slow world has longer
 	// runs and fewer takeovers, and its faults last longer.
 	simFaults struct {
-		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow bool
+		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow, steps bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -94,8 +95,11 @@
 		owner   *simOwner
 		records simStore
 		cuts    []simCut
-		names   int
-		events  []simEvent
+		// jobs holds the jobs that end by themselves, checkpoints the ones that the runs of a task or of a gang have produced.
+		jobs        map[string]job.Job
+		checkpoints map[string]map[string]struct{}
+		names       int
+		events      []simEvent
 		// starts and doneEnds hold, by task, the starts that took effect and the runs that have ended as done. failures holds the numbers of
 		// its failed runs.
 		starts    map[string][]time.Time
@@ -371,6 +375,7 @@
 	w.log("", "%s: endpoint process crashes", p.id)
 	for task, r := range p.runs {
 		w.log(task, "%s: run %d ends in the crash", p.id, r.Number)
+		w.breakGang(r)
 	}
 	w.leaseExpired(p)
 	id := p.id
