tests/platform, estate: installations on one machine do not share addresses

Cause: the test numbered its loopback subnets from 21, so that two runs at the same time used the same addresses.

Change: each installation of tests/platform reserves a subnet, as those of tests/soak did; the reservation moves to internal/standin/estate. No check is changed.

--- a/tests/platform/platform_test.go
+++ b/tests/platform/platform_test.go
@@ -65,7 +65,6 @@
 }
 
 var _ = Describe("Jobs on the platform", func() {
-	subnet := 0
 	for name, fault := range map[string]func(ctx context.Context, i *estate.Installation){
 		"no fault": func(context.Context, *estate.Installation) {},
 		"the entry that owns the jobs killed": func(_ context.Context, i *estate.Installation) {
@@ -147,10 +146,10 @@
 			i.Store.SetFault("", "")
 		},
 	} {
-		subnet++
-		scenarioSubnet := 20 + subnet
 		It("are accepted and complete without concurrent or repeated runs with "+name, func(ctx SpecContext) {
-			i := &estate.Installation{ProgramDir: programDir, OutputDir: GinkgoT().TempDir(), Subnet: scenarioSubnet, Entries: entryCount, VMs: vmCount, Grace: 5 * time.Second}
+			subnet, err := estate.ReserveSubnet()
+			Expect(err).NotTo(HaveOccurred())
+			i := &estate.Installation{ProgramDir: programDir, OutputDir: GinkgoT().TempDir(), Subnet: subnet, Entries: entryCount, VMs: vmCount, Grace: 5 * time.Second}
 			DeferCleanup(i.Stop)
 			Expect(i.Start(ctx)).To(Succeed())
 			l := &jobLoad{installation: i, submitted: map[string]bool{}}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -17,9 +16,6 @@
 	"bamboohook/internal/standin/estate"
 )
 
-// locks are the listeners that reserve subnets.
-var locks []net.Listener
-
 // Bounds of the platform's rules.
 const (
 	contactTime = 3 * time.Second
@@ -37,8 +33,6 @@
 )
 
 const (
-	firstSubnet, lastSubnet = 100, 199
-	lockPort                = 28000
 	// vmsPerEntry is the ratio of agents to entries beyond the minimum of minEntries.
 	vmsPerEntry = 15
 	minEntries  = 3
@@ -66,7 +60,9 @@
 	entries := max(minEntries, processCount/(vmsPerEntry+1))
 	vms := processCount - entries
 	Expect(vms).To(BeNumerically(">", 0))
-	i := &estate.Installation{ProgramDir: programDir, OutputDir: outputDir(seed), Subnet: reserveSubnet(), Entries: entries, VMs: vms, Grace: maxGrace}
+	subnet, err := estate.ReserveSubnet()
+	Expect(err).NotTo(HaveOccurred())
+	i := &estate.Installation{ProgramDir: programDir, OutputDir: outputDir(seed), Subnet: subnet, Entries: entries, VMs: vms, Grace: maxGrace}
 	defer i.Stop()
 	Expect(i.Start(ctx)).To(Succeed())
 	r := rand.New(rand.NewPCG(seed, 0))
@@ -194,16 +190,3 @@
 	Expect(os.MkdirAll(dir, 0o700)).To(Succeed())
 	return dir
 }
-
-// reserveSubnet returns a subnet that no other soak on this machine uses while this process runs. It is not released before, because the
-// servers of a seed stop in the background.
-func reserveSubnet() int {
-	for subnet := firstSubnet; subnet <= lastSubnet; subnet++ {
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", subnet, lockPort)); err == nil {
-			locks = append(locks, l)
-			return subnet
-		}
-	}
-	Fail("no free subnet")
-	return 0
-}
