--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -69,16 +69,16 @@
 )
 
 func drawJob(r *rand.Rand, n int) *job {
-	j := &job{id: fmt.Sprintf("%016x", 0xabc000+n), runTime: rand64(r, 50*time.Millisecond, maxRunTime), onlyRefused: true}
+	j := &job{id: fmt.Sprintf("%016x", 0xabc000+n), runTime: drawDuration(r, 50*time.Millisecond, maxRunTime), onlyRefused: true}
 	j.steps = []estate.Step{{Tasks: 1 + r.IntN(maxTasks), MilliProcessors: 500 * (1 + r.IntN(3))}}
 	if r.IntN(2) == 0 {
 		j.steps = append(j.steps, estate.Step{Tasks: 1 + r.IntN(maxTasks), MilliProcessors: 500 * (1 + r.IntN(3)), After: []int{0}})
 	}
 	if r.Float64() < cancelledShare {
-		j.cancel, j.cancelDelay, j.runTime = true, rand64(r, 0, maxCancelDelay), longRunTime
+		j.cancel, j.cancelDelay, j.runTime = true, drawDuration(r, 0, maxCancelDelay), longRunTime
 	}
 	if r.Float64() < repeatedShare {
-		j.repeatDelay = rand64(r, time.Second, 4*time.Second)
+		j.repeatDelay = drawDuration(r, time.Second, 4*time.Second)
 	}
 	return j
 }
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -67,12 +67,12 @@
 	busyUntil := map[string]time.Duration{}
 	for s := range seriesCount {
 		start := time.Duration(s) * (seriesDuration + quietTime)
-		for offset := start; offset < start+seriesDuration; offset += rand64(r, 0, maxFaultGap) {
+		for offset := start; offset < start+seriesDuration; offset += drawDuration(r, 0, maxFaultGap) {
 			targetKind, targets := drawTargets(r, entries, vms)
 			kinds := faultKinds[targetKind]
 			kind := kinds[r.IntN(len(kinds))]
 			for _, target := range targets {
-				f := fault{kind, target, offset, rand64(r, minFaultDuration, maxFaultDuration)}
+				f := fault{kind, target, offset, drawDuration(r, minFaultDuration, maxFaultDuration)}
 				if busyUntil[target] > offset {
 					continue
 				}
@@ -109,7 +109,8 @@
 	}
 }
 
-func rand64(r *rand.Rand, least, most time.Duration) time.Duration {
+// drawDuration draws a duration from least up to, but not including, most.
+func drawDuration(r *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
 
