review/2: a job whose cancelling was acknowledged is accepted afterwards and runs on

Cause: a cancellation of an unknown job is answered with 410 while a copy of its submission lies in another connection to the owner, and the owner accepts that copy afterwards. Done: a script in which the owner stands still for 0.6 s while clients hand jobs in, leave and cancel them at another entry. The former cases 2 and 4 are now 4 and 5.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 for program in target/bamboohook target/review/standin; do
   [ -x "$program" ] || exit 2
 done
-exec target/review/standin advice-burst "$folder/record.txt"
+exec target/review/standin advice "$folder/record.txt"
--- a/review/cmd/standin/large.go
+++ b/review/cmd/standin/large.go
@@ -59,7 +59,7 @@
 	after := serveSample(ctx, i)
 	i.Record.Printf("served before: %d, after: %d of %d; large job: %s, %d runs", before, after, sampleJobs, i.State(ctx, rig.BuildPath, large), running(i, large))
 	// Whether the large job can be cancelled does not decide about the rule. It tells whether an operator could help.
-	i.Record.Printf("cancelling the large job was acknowledged: %t", i.Cancel(ctx, rig.BuildPath, large))
+	i.Record.Printf("cancelling the large job was acknowledged: %t", i.Cancel(ctx, 0, rig.BuildPath, large))
 	return float64(before) >= servedShare*sampleJobs && float64(after) < servedShare*sampleJobs, nil
 }
 
--- a/review/cmd/standin/main.go
+++ b/review/cmd/standin/main.go
@@ -35,6 +35,7 @@
 	"advice":       advice,
 	"advice-burst": adviceBurst,
 	"large-record": largeRecord,
+	"cancelled":    cancelled,
 }
 
 func main() { os.Exit(run()) }
--- a/review/internal/rig/client.go
+++ b/review/internal/rig/client.go
@@ -60,9 +60,20 @@
 	return false
 }
 
-// Cancel cancels a job. It sends the request to each entry once, records the responses and reports whether there was a 2xx or a 410.
-func (i *Installation) Cancel(ctx context.Context, path, id string) bool {
-	for entry := range i.Entries {
+// SubmitOnce hands a job in at an entry, and leaves after the patience if there is no response. It records and returns the status, or 0.
+func (i *Installation) SubmitOnce(ctx context.Context, entry int, path, id string, j Job, patience time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	status, _ := i.call(ctx, entry, http.MethodPost, path+id, j)
+	i.Record.Printf("client: POST %s%s at entry %d, waiting for %s: %s", path, id, entry, patience, describe(status))
+	return status
+}
+
+// Cancel cancels a job. It sends the request to each entry once, first to the given one, records the responses and reports whether there was a 2xx or
+// a 410.
+func (i *Installation) Cancel(ctx context.Context, first int, path, id string) bool {
+	for n := range i.Entries {
+		entry := (first + n) % i.Entries
 		status, _ := i.call(ctx, entry, http.MethodDelete, path+id, nil)
 		i.Record.Printf("client: DELETE %s%s at entry %d: %s", path, id, entry, describe(status))
 		if status == http.StatusOK || status == http.StatusGone {
--- a/review/internal/rig/installation.go
+++ b/review/internal/rig/installation.go
@@ -3,6 +3,7 @@
 package rig
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -143,6 +144,25 @@
 	_ = c.Wait()
 }
 
+// PauseEntry stops the process of an entry for some time, without ending it.
+func (i *Installation) PauseEntry(n int, duration time.Duration) {
+	process := i.processes[processName("entry", n)].Process
+	_ = process.Signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	_ = process.Signal(syscall.SIGCONT)
+}
+
+// Owner returns the number of the entry that owns the jobs according to the store, and false if there is none.
+func (i *Installation) Owner() (int, bool) {
+	value, _ := i.Store.Value("keyed.jobs", "owner")
+	for n := range i.Entries {
+		if bytes.Contains(value, fmt.Appendf(nil, "%q", i.address(1, n+1, portInternal))) {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
 // Stop ends all processes.
 func (i *Installation) Stop() {
 	for _, c := range i.processes {
