review: the stand-ins wait for the large job's tasks and for free ports

The large job starts its tasks within a limit instead of a fixed time, so that case 1 doesn't depend on the speed of the machine, and a subnet on which a port is in use is passed over.

--- a/review/cmd/standin/large.go
+++ b/review/cmd/standin/large.go
@@ -12,6 +12,10 @@
 	occurrences        = 60
 	tasksPerOccurrence = 200
 	occurrenceInterval = 200 * time.Millisecond
+	// taskTime is longer than the script. startTime limits the time until all tasks run, checkpointTime is some times CheckpointIntervalS.
+	taskTime       = 3 * time.Minute
+	startTime      = 35 * time.Second
+	checkpointTime = 2 * time.Second
 	// downTime is how long all entries are down, recoveryTime is RecoveryS.
 	downTime     = 9500 * time.Millisecond
 	recoveryTime = 12 * time.Second
@@ -30,14 +34,18 @@
 	}
 	large := rig.NewID()
 	accepted := i.Submit(ctx, rig.BuildPath, large, rig.Job{
-		Spec:        rig.Spec{Ms: 60_000, Saves: true}.Encode(),
-		Steps:       []rig.Step{{Count: tasksPerOccurrence, CPU: 50, MemMb: 100, EstimateMs: 60_000, Checkpointing: true}},
+		Spec:        rig.Spec{Ms: taskTime.Milliseconds(), Saves: true}.Encode(),
+		Steps:       []rig.Step{{Count: tasksPerOccurrence, CPU: 50, MemMb: 100, EstimateMs: taskTime.Milliseconds(), Checkpointing: true}},
 		RepeatCount: occurrences, StartAtMs: time.Now().UnixMilli(), IntervalMs: occurrenceInterval.Milliseconds(),
 	})
 	if !accepted {
 		return false, errors.New("the large job was not accepted")
 	}
-	time.Sleep(occurrences*occurrenceInterval + 3*time.Second)
+	if !await(ctx, startTime, func() bool { return running(i, large) == occurrences*tasksPerOccurrence }) {
+		return false, errors.New("the large job has not started all its tasks")
+	}
+	// By then each run has a checkpoint.
+	time.Sleep(checkpointTime)
 	i.Record.Printf("%d runs of the large job", running(i, large))
 	before := serveSample(ctx, i)
 	if trouble {
--- a/review/internal/rig/installation.go
+++ b/review/internal/rig/installation.go
@@ -213,6 +213,9 @@
 	var err error
 	for n := range subnetCount {
 		i.subnet = firstSubnet + (first+n)%subnetCount
+		if err = i.checkPorts(); err != nil {
+			continue
+		}
 		if err = serve(ctx, i.Store.Handler(), i.address(0, 1, portStore), 0); err == nil {
 			return nil
 		}
@@ -220,6 +223,23 @@
 	return err
 }
 
+// checkPorts returns an error if a port of a process is in use on the subnet.
+func (i *Installation) checkPorts() error {
+	for n := range max(i.Entries, i.Workers) {
+		for _, address := range []string{
+			i.address(1, n+1, portInternal), i.address(1, n+1, portInternal+1), i.address(1, n+1, portFrontend), i.address(1, n+1, portReadiness),
+			i.address(2, n+1, portInternal), i.address(2, n+1, portInternal+1), i.address(2, n+1, portControl), i.address(2, n+1, portWorker),
+		} {
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				return err
+			}
+			_ = l.Close()
+		}
+	}
+	return nil
+}
+
 // publishConfiguration publishes the routes: one for short tasks, one for builds, and one for tasks that last.
 func (i *Installation) publishConfiguration() {
 	routes := []route{
