--- a/review/cmd/standin/cancelled.go
+++ b/review/cmd/standin/cancelled.go
@@ -14,19 +14,22 @@
 	pauseTime = 600 * time.Millisecond
 	pauses    = 3
 	// patience is how long a client waits before it leaves: half of the objective of the class preview.
-	patience      = 125 * time.Millisecond
-	jobsInPause   = 10
-	sendInterval  = 20 * time.Millisecond
+	patience = 125 * time.Millisecond
+	// Of the clients of each pause, leaving of every clientGroup leave: a share of 0.4, the largest of the site.
+	jobsInPause   = 25
+	leaving       = 2
+	clientGroup   = 5
+	sendInterval  = 15 * time.Millisecond
 	pauseInterval = 4 * time.Second
 	// cancelTime is cancel_ms, stopTimeout is StopTimeoutMs.
 	cancelTime  = 3 * time.Second
 	stopTimeout = 200 * time.Millisecond
 )
 
-// cancelled hands in jobs at one entry whose clients leave before there is a response, and cancel them at another one. The disruption is that the entry
-// that owns the jobs stands still meanwhile. The rule is broken if a job runs on after its cancelling was acknowledged.
+// cancelled hands in jobs at one entry. Some of the clients leave before there is a response, and cancel their jobs at another entry. The disruption is
+// that the entry that owns the jobs stands still meanwhile. The rule is broken if a job runs on after its cancelling was acknowledged.
 func cancelled(ctx context.Context, i *rig.Installation, trouble bool) (bool, error) {
-	i.Workers = 4
+	i.Workers = firstWorkers
 	if err := i.Start(ctx); err != nil {
 		return false, err
 	}
@@ -47,10 +50,14 @@
 			group.Go(func() { i.PauseEntry(owner, pauseTime) })
 			time.Sleep(sendInterval)
 		}
-		for range jobsInPause {
+		for n := range jobsInPause {
 			group.Go(func() {
 				id := rig.NewID()
 				j := rig.Job{Spec: rig.Spec{Lasts: true}.Encode(), Steps: []rig.Step{{Count: 1, CPU: 500, MemMb: 1000, EstimateMs: 500, LongRunning: true}}}
+				if n%clientGroup >= leaving {
+					i.Submit(ctx, rig.IndexPath, id, j)
+					return
+				}
 				i.SubmitOnce(ctx, (owner+1)%i.Entries, rig.IndexPath, id, j, patience)
 				if i.Cancel(ctx, (owner+2)%i.Entries, rig.IndexPath, id) {
 					mutex.Lock()
