coordinator, inquirer: an advised queue asks for every VM in turn, with one request at a time

Cause: each request named the 8 VMs with the most free processors, and answers were not kept. If none of these VMs is allowed, the allowed ones are never named. A ticket was used for the next endpoint process too.

Change: package inquirer keeps the answers by step and endpoint process. A denied endpoint is not named again, one request is outstanding at a time, and of all waiting steps the one asked for the longest ago comes first. Room is held for a starving task only where it may run.

--- a/internal/batch/coordinator/advice.go
+++ b/internal/batch/coordinator/advice.go
@@ -1,85 +1,109 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/inquirer"
 )
 
 const (
-	// maxVMsPerTicketRequest is the highest number of VMs in one request for tickets. Each VM makes the response take longer, and most steps fit
-	// on a few VMs.
-	maxVMsPerTicketRequest = 8
-	// ticketRequestTimeout is the timeout of a request for tickets.
-	ticketRequestTimeout = 2 * time.Second
-	// ticketRequestInterval is the shortest time between two requests for tickets for the same step.
-	ticketRequestInterval = 300 * time.Millisecond
-	// ticketMargin is how long a ticket must still be valid when a task is placed, so that it is valid when the agent receives the start.
-	ticketMargin = 200 * time.Millisecond
+	// adviceMargin is how long a request for tickets may take beyond the time that the queue's configuration gives for it, which counts up to
+	// maxAdviceTime.
+	adviceMargin  = 2 * time.Second
+	maxAdviceTime = 20 * time.Second
 )
 
-// validTicket returns the text of the VM's ticket for the step, or "" if the VM has no valid one.
-func (v *vm) validTicket(s *bookkeeper.Step, now time.Time) string {
-	found, ok := v.tickets[stepName(s)]
-	if !ok || !now.Before(found.expiresAt) {
-		return ""
-	}
-	return found.text
+// endpoint identifies the VM's endpoint process for the Advisor.
+func (v *vm) endpoint() inquirer.Endpoint { return inquirer.Endpoint{ID: v.endpointID, Incarnation: v.incarnation} }
+
+// ticketRequest is a request to the Advisor that the owner of the epoch sends.
+type ticketRequest struct {
+	inquirer.Request
+	timeout time.Duration
+	epoch   uint64
 }
 
-// ensureTicket reports whether a VM on which the step may start now has a valid ticket for it. If none has, it requests tickets in the
-// background, at most once in each ticketRequestInterval.
-func (c *Coordinator) ensureTicket(ctx context.Context, s *bookkeeper.Step, q Queue, now time.Time) bool {
-	name := stepName(s)
-	hasTicket := false
-	var candidateVMs []*vm
-	for _, v := range c.state.vms {
-		if v.Service != q.Service || !c.schedulable(v, now) {
-			continue
+// nextTicketRequest returns the next request for tickets for one of the steps that still have waiting tasks after a plan, or nil. A request that has
+// no response yet is not sent again, and no second one is sent meanwhile.
+func (c *Coordinator) nextTicketRequest(steps []*bookkeeper.Step, now time.Time) *ticketRequest {
+	if c.Advisor == nil || len(steps) == 0 {
+		return nil
+	}
+	var needs []inquirer.Need
+	for _, s := range steps {
+		waiting := 0
+		for _, t := range s.Tasks {
+			if t.IsWaiting() {
+				waiting++
+			}
+		}
+		if waiting > 0 {
+			needs = append(needs, inquirer.Need{
+				Step: stepName(s), Queue: s.Job.Queue, Tasks: waiting, Candidates: func() []inquirer.Candidate { return c.ticketCandidates(s) },
+			})
 		}
-		hasTicket = hasTicket || v.validTicket(s, now) != ""
-		candidateVMs = append(candidateVMs, v)
 	}
-	if hasTicket || c.Advisor == nil || len(candidateVMs) == 0 || now.Sub(c.state.ticketsRequestedAt[name]) < ticketRequestInterval {
-		return hasTicket
+	request, ok := c.state.inquirer.Next(needs, now)
+	if !ok {
+		return nil
 	}
-	if c.state.ticketsRequestedAt == nil {
-		c.state.ticketsRequestedAt = map[string]time.Time{}
+	return &ticketRequest{request, c.queueNamed(request.Queue).adviceTimeout(len(request.Endpoints)), c.state.epoch}
+}
+
+// adviceTimeout returns the timeout of a request for tickets for the given number of VMs.
+func (q Queue) adviceTimeout(vms int) time.Duration {
+	perVM := min(max(q.AdviceTimePerVM, 0), maxAdviceTime/time.Duration(vms))
+	return adviceMargin + min(max(q.AdviceTime, 0), maxAdviceTime) + time.Duration(vms)*perVM
+}
+
+// ticketCandidates returns the endpoints with room for a task of the step, those with the most unclaimed processors first.
+func (c *Coordinator) ticketCandidates(s *bookkeeper.Step) []inquirer.Candidate {
+	service := c.queueOf(s.Job).Service
+	var vms []*vm
+	for _, v := range c.state.vms {
+		if v.Service == service && v.endpointID != "" && v.RoomFor(s) > 0 {
+			vms = append(vms, v)
+		}
 	}
-	c.state.ticketsRequestedAt[name] = now
-	slices.SortFunc(candidateVMs, func(x, y *vm) int { return int(y.unclaimedProcessors() - x.unclaimedProcessors()) })
-	requestedVMs := candidateVMs[:min(len(candidateVMs), maxVMsPerTicketRequest)]
-	endpoints := make([]string, len(requestedVMs))
-	for n, v := range requestedVMs {
-		endpoints[n] = v.endpointID
+	slices.SortFunc(vms, func(x, y *vm) int {
+		return cmp.Or(cmp.Compare(y.unclaimedProcessors(), x.unclaimedProcessors()), cmp.Compare(x.Name, y.Name))
+	})
+	candidates := make([]inquirer.Candidate, len(vms))
+	for n, v := range vms {
+		candidates[n] = inquirer.Candidate{Endpoint: v.endpoint(), Room: v.RoomFor(s)}
 	}
-	c.spawn(func() { c.requestTickets(ctx, name, endpoints) })
-	return false
+	return candidates
 }
 
-// requestTickets asks the Advisor for tickets to run the step at the endpoints, and stores them at the endpoints' VMs.
-func (c *Coordinator) requestTickets(ctx context.Context, step string, endpoints []string) {
-	callCtx, cancel := context.WithTimeout(ctx, ticketRequestTimeout)
+// sendTicketRequest sends a request for tickets and records the answer, unless the epoch has ended.
+func (c *Coordinator) sendTicketRequest(ctx context.Context, request ticketRequest) {
+	callCtx, cancel := context.WithTimeout(ctx, request.timeout)
 	defer cancel()
-	start := c.Clock.Now()
-	tickets, validity, err := c.Advisor.Advise(callCtx, step, endpoints)
+	ids := make([]string, len(request.Endpoints))
+	for n, e := range request.Endpoints {
+		ids[n] = e.ID
+	}
+	sentAt := c.Clock.Now()
+	tickets, validity, err := c.Advisor.Advise(callCtx, request.Step, ids)
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
-	if err != nil {
-		c.Log.Warn().Err(err).Str("step", step).Int("vms", len(endpoints)).Msg("cannot get tickets for a step")
+	if c.state.epoch != request.epoch {
 		return
 	}
-	for _, v := range c.state.vms {
-		if text, ok := tickets[v.endpointID]; ok {
-			if v.tickets == nil {
-				v.tickets = map[string]ticket{}
-			}
-			v.tickets[step] = ticket{text, start.Add(validity - ticketMargin)}
-		}
+	now := c.Clock.Now()
+	if err != nil {
+		c.state.inquirer.Fail(now)
+		c.Meter.Count("ticket-requests-failed")
+		c.Log.Warn().Err(err).Str("step", request.Step).Int("vms", len(ids)).Dur("after", now.Sub(sentAt)).Msg("cannot get tickets for a step")
+		return
 	}
-	c.Log.Info().Str("step", step).Int("asked", len(endpoints)).Int("approved", len(tickets)).Msg("request for tickets was answered")
+	c.state.inquirer.Answer(request.Request, tickets, validity, sentAt, now)
+	c.Log.Info().Str("step", request.Step).Int("asked", len(ids)).Int("approved", len(tickets)).Dur("after", now.Sub(sentAt)).
+		Msg("request for tickets was answered")
 	c.wakePlanner()
 }
 
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"bamboohook/internal/batch/antagonist"
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/dispatcher"
+	"bamboohook/internal/batch/inquirer"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/storekeeper"
 )
@@ -89,8 +90,8 @@
 		recordedUpdates        int
 		modelRecordRequestedAt time.Time
 		modelRecordDue         bool
-		// ticketsRequestedAt is when tickets of the Advisor were last requested for each step, by the names of the steps.
-		ticketsRequestedAt map[string]time.Time
+		// inquirer chooses the requests to the Advisor and keeps its tickets.
+		inquirer inquirer.Inquirer
 		// loadLoggedAt is when the total load was last logged.
 		loadLoggedAt time.Time
 	}
@@ -124,6 +125,7 @@
 	s.unrecordedResults, s.recordWaiters, s.removedJobs = nil, nil, nil
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
+	s.inquirer = inquirer.Inquirer{}
 	progress := map[string][]byte{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
 	for _, r := range records {
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -143,6 +143,9 @@
 	queue                coordinator.Queue
 	// beforeResponse, unless nil, is called after an agent has executed starts, before the coordinator receives the response.
 	beforeResponse func(*agent)
+	// If deferCalls is set, simulate makes the coordinator's calls after each plan. deferredCalls holds those that were not made yet.
+	deferCalls    bool
+	deferredCalls []func()
 }
 
 func newTestCluster(vms int) *testCluster {
@@ -170,7 +173,13 @@
 		Leases: coordinator.Leases{Grant: 2 * time.Second, Run: 3 * time.Second, Contact: time.Second, Drift: 500 * time.Millisecond},
 		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
 		OwnedAt: func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
-		Spawn:   func(do func()) { do() },
+		Spawn: func(do func()) {
+			if c.deferCalls {
+				c.deferredCalls = append(c.deferredCalls, do)
+				return
+			}
+			do()
+		},
 	}
 	c.journal.coordinator, c.journal.pendingWrites, c.journal.blocked = c.coordinator, nil, false
 	c.coordinator.TakeOwnership(epoch, c.journal.newestRecords())
@@ -318,10 +327,20 @@
 		}
 		c.coordinator.Tick()
 		c.coordinator.PlanOnce(context.Background())
+		c.makeDeferredCalls()
 		c.journal.flush()
 	}
 }
 
+// makeDeferredCalls makes the calls that the coordinator has deferred.
+func (c *testCluster) makeDeferredCalls() {
+	calls := c.deferredCalls
+	c.deferredCalls = nil
+	for _, call := range calls {
+		call()
+	}
+}
+
 // countRuns returns the number of runs of each task on all VMs together.
 func (c *testCluster) countRuns() map[string]int {
 	count := map[string]int{}
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -79,6 +79,9 @@
 		// Advised reports whether the start of a task needs a ticket from the Advisor. The name of the field is part of the
 		// stored records of jobs, like those of the other fields.
 		Advised bool
+		// AdviceTime and AdviceTimePerVM are how long the Advisor takes for a request and for each VM in it.
+		AdviceTime      time.Duration `json:",omitempty"`
+		AdviceTimePerVM time.Duration `json:",omitempty"`
 	}
 
 	// Coordinator owns the batch jobs between TakeOwnership and Resign. Set the exported fields before Run. It is safe for concurrent use.
@@ -152,14 +155,6 @@
 		// announcedAt is when empty orders that name the owner were last sent to the agent. They are sent until its first report in this epoch
 		// arrives.
 		announcedAt time.Time
-		// tickets holds the last ticket for each step, by the names of the steps.
-		tickets map[string]ticket
-	}
-
-	// ticket is the permission of the Advisor to run a step on a VM. The agent receives its text with each start.
-	ticket struct {
-		text      string
-		expiresAt time.Time
 	}
 
 	// run is an execution of a task on a VM, from the choice of the VM until the run certainly uses no resources there any more.
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -61,11 +61,15 @@
 	}
 }
 
-// PlanOnce places waiting tasks on VMs. It sends all orders that are due to the agents, in the background.
+// PlanOnce places waiting tasks on VMs. It sends all orders that are due to the agents and the next request to the Advisor, in the background.
 func (c *Coordinator) PlanOnce(ctx context.Context) {
-	for name, orders := range c.planOrders(ctx) {
+	orders, request := c.planOrders()
+	for name, orders := range orders {
 		c.spawn(func() { c.sendOrders(ctx, name, orders) })
 	}
+	if request != nil {
+		c.spawn(func() { c.sendTicketRequest(ctx, *request) })
+	}
 }
 
 // Tick opens due occurrences, removes lost VMs, stops runs on draining VMs and removes ended jobs whose retention is over. It also logs the
@@ -151,16 +155,16 @@
 	c.runsChanged(v)
 }
 
-// planOrders places waiting tasks and returns the orders that are due, by the names of the VMs.
-func (c *Coordinator) planOrders(ctx context.Context) map[string]messenger.Orders {
+// planOrders places waiting tasks. It returns the orders that are due, by the names of the VMs, and the next request to the Advisor unless it is nil.
+func (c *Coordinator) planOrders() (map[string]messenger.Orders, *ticketRequest) {
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
 	s := &c.state
 	if !s.owning || !c.MayGrantLeases() {
-		return nil
+		return nil, nil
 	}
 	now := c.Clock.Now()
-	c.placeTasks(ctx, now)
+	request := c.nextTicketRequest(c.placeTasks(now), now)
 	ordersByVM := map[string]messenger.Orders{}
 	for name, v := range c.vmsToSearch(now) {
 		o := messenger.Orders{Epoch: s.epoch, Owner: c.Address, Session: v.session, Incarnation: v.incarnation, ReportSentMS: v.reportSentMS}
@@ -179,7 +183,7 @@
 			ordersByVM[name] = o
 		}
 	}
-	return ordersByVM
+	return ordersByVM, request
 }
 
 // vmsToSearch returns the VMs to search for due orders: those with changes since the last search, or from time to time all.
@@ -197,10 +201,11 @@
 // runsChanged makes the next plan search the VM for due orders.
 func (c *Coordinator) runsChanged(v *vm) { c.state.vmsWithChangedRuns[v.Name] = v }
 
-// placeTasks places waiting tasks on VMs and adds a run for each of them. The starts of these runs are not sent yet.
-func (c *Coordinator) placeTasks(ctx context.Context, now time.Time) {
+// placeTasks places waiting tasks on VMs and adds a run for each of them. The starts of these runs are not sent yet. It returns the steps of advised
+// queues that had waiting tasks.
+func (c *Coordinator) placeTasks(now time.Time) []*bookkeeper.Step {
 	s := &c.state
-	var steps []*bookkeeper.Step
+	var steps, advisedSteps []*bookkeeper.Step
 	queues := map[string]dispatcher.Queue{}
 	s.jobs.VisitReadySteps(func(step *bookkeeper.Step) {
 		if _, restored := s.restoredJobs[step.Job]; restored && !s.runsKnown && !step.NotStartedByEarlierOwners() {
@@ -210,19 +215,24 @@
 			return
 		}
 		q := c.queueOf(step.Job)
-		if q.Advised && !c.ensureTicket(ctx, step, q, now) {
-			return
+		if q.Advised {
+			advisedSteps = append(advisedSteps, step)
+			if !s.inquirer.HasTicket(stepName(step), now) {
+				return
+			}
 		}
 		queues[step.Job.Queue] = q.Queue
 		steps = append(steps, step)
 	})
-	if len(steps) == 0 {
-		return
+	if len(steps)+len(advisedSteps) == 0 {
+		return nil
 	}
 	vms, coordinatorVMs := c.dispatcherVMs(now)
 	s.dispatcher.Excludes = func(t *bookkeeper.Task, d *dispatcher.VM) bool {
-		v := coordinatorVMs[d]
-		return c.queueOf(t.Step.Job).Advised && v.validTicket(t.Step, now) == ""
+		return c.queueOf(t.Step.Job).Advised && s.inquirer.Ticket(stepName(t.Step), coordinatorVMs[d].endpoint(), now) == ""
+	}
+	s.dispatcher.Forbids = func(step *bookkeeper.Step, d *dispatcher.VM) bool {
+		return c.queueOf(step.Job).Advised && s.inquirer.Denied(stepName(step), coordinatorVMs[d].endpoint(), now)
 	}
 	gangNumbers := map[*bookkeeper.Step]int{}
 	for _, p := range s.dispatcher.Plan(now, steps, queues, vms) {
@@ -235,6 +245,7 @@
 		}
 		c.addRun(p, coordinatorVMs[p.VM], number, now)
 	}
+	return advisedSteps
 }
 
 // dispatcherVMs updates for each VM whether tasks may start there, and returns all VMs for the dispatcher in the order of their names. The map
@@ -280,7 +291,9 @@
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
 		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent,
 	}
-	x.ticketText = v.validTicket(t.Step, now)
+	if c.queueOf(t.Step.Job).Advised {
+		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
+	}
 	v.runs[x.taskName] = x
 	c.runsChanged(v)
 	v.breaker.Started(now)
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -404,11 +404,14 @@
 
 // queueOf returns the current configuration of the job's queue. If the queue was removed, it returns the configuration with which a job of
 // the queue was last accepted.
-func (c *Coordinator) queueOf(j *bookkeeper.Job) Queue {
-	if q, ok := c.state.queues[j.Queue]; ok {
+func (c *Coordinator) queueOf(j *bookkeeper.Job) Queue { return c.queueNamed(j.Queue) }
+
+// queueNamed returns the configuration of the queue with the name, like queueOf.
+func (c *Coordinator) queueNamed(name string) Queue {
+	if q, ok := c.state.queues[name]; ok {
 		return q
 	}
-	return c.state.acceptedQueues[j.Queue]
+	return c.state.acceptedQueues[name]
 }
 
 // recordedSequenceFor returns the sequence number up to which the endpoint process with the incarnation may forget its run results. It returns 0
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -56,6 +56,9 @@
 		Model InterferenceModel
 		// Excludes reports whether the task must not start on the VM. If it is nil, no VM is excluded.
 		Excludes func(t *bookkeeper.Task, v *VM) bool
+		// Forbids reports whether tasks of the step may never start on the VM, so that room there is of no use for them. If it is nil, they may
+		// start on all VMs, perhaps later.
+		Forbids func(s *bookkeeper.Step, v *VM) bool
 
 		// vms holds the VMs of the current plan. mostFree holds, by service, the most of each resource that was free on a VM when the plan
 		// began.
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -58,7 +58,7 @@
 	most := 0.0
 	for _, v := range vms {
 		if v.Service != service || !v.Schedulable || v.TargetMissed || !v.CanHost(s.Step) || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM ||
-			d.Excludes != nil && d.Excludes(t, v) {
+			d.Forbids != nil && d.Forbids(s, v) {
 			continue
 		}
 		if share := d.freeShare(s, v); d.held == nil || share > most {
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -151,6 +151,26 @@
 	return v.CanHost(s.Step) && reservation(s.Step).Fits(v.Capacity.Sub(v.reserved))
 }
 
+// RoomFor returns how many more tasks of the step may start on the VM and fit beside the reservations there, at most as many as the step has.
+func (v *VM) RoomFor(s *bookkeeper.Step) int {
+	if !v.hasRoomFor(s) {
+		return 0
+	}
+	room := len(s.Tasks)
+	if s.MaxPerVM > 0 {
+		room = min(room, s.MaxPerVM-v.runsByStep[s])
+	}
+	needed, free := reservation(s.Step), v.Capacity.Sub(v.reserved)
+	for _, r := range [][2]int64{
+		{needed.MilliProcessors, free.MilliProcessors}, {needed.MemoryBytes, free.MemoryBytes}, {needed.Accelerators, free.Accelerators},
+	} {
+		if r[0] > 0 {
+			room = int(min(int64(room), r[1]/r[0]))
+		}
+	}
+	return room
+}
+
 // reservation returns the resources that a task of the step reserves. Best-effort tasks reserve no processors.
 func reservation(s job.Step) resource.Amount {
 	size := s.Size
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -187,7 +187,7 @@
 			Queue: dispatcher.Queue{
 				Service: r.Service, Priority: r.Priority, Attempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target,
 			},
-			Advised: r.Advised,
+			Advised: r.Advised, AdviceTime: r.AdviceTime, AdviceTimePerVM: r.AdviceTimePerVM,
 		}
 	}
 	e.coordinator.Configure(configuration.Version, queues)
--- a/internal/fleet/routetable/routetable.go
+++ b/internal/fleet/routetable/routetable.go
@@ -28,6 +28,9 @@
 		Timeout time.Duration `json:"timeout"`
 		// Advised reports whether a task needs a permission of the advice service, which decides on which VMs it may run.
 		Advised bool `json:"advised,omitempty"`
+		// AdviceTime and AdviceTimePerVM are how long the advice service takes for a request and for each VM in it.
+		AdviceTime      time.Duration `json:"advice-time,omitempty"`
+		AdviceTimePerVM time.Duration `json:"advice-time-per-vm,omitempty"`
 	}
 
 	// Configuration is one version of the configuration that operators publish. It is immutable.
