coordinator: a cancellation that arrives before the submission is recorded and holds

Cause: submission and cancellation come over different connections. Cancelling an unknown job left no trace, so that a copy of the submission that was handled later was accepted.

Change: a cancellation of an unknown job is recorded in the store before its answer. This owner and later ones cancel the job as soon as it is accepted.

The test 'cancels a job' expected 410 for an unknown job without a write; it now expects it once the write is stored, and no answer before.

--- a/internal/batch/coordinator/advice.go
+++ b/internal/batch/coordinator/advice.go
@@ -18,7 +18,9 @@
 )
 
 // endpoint identifies the VM's endpoint process for the Advisor.
-func (v *vm) endpoint() inquirer.Endpoint { return inquirer.Endpoint{ID: v.endpointID, Incarnation: v.incarnation} }
+func (v *vm) endpoint() inquirer.Endpoint {
+	return inquirer.Endpoint{ID: v.endpointID, Incarnation: v.incarnation}
+}
 
 // ticketRequest is a request to the Advisor that the owner of the epoch sends.
 type ticketRequest struct {
--- a/internal/batch/coordinator/advice_test.go
+++ b/internal/batch/coordinator/advice_test.go
@@ -113,7 +113,7 @@
 			}
 			before := len(a.requests)
 			cluster.makeDeferredCalls()
-			Expect(len(a.requests)-before).To(BeNumerically("<=", 1))
+			Expect(len(a.requests) - before).To(BeNumerically("<=", 1))
 			cluster.simulate(200 * time.Millisecond)
 		}
 		Expect(cluster.countRuns()).To(HaveLen(jobs))
--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -138,6 +138,7 @@
 	case err == nil:
 		added := s.jobs.Accept(j)
 		s.acceptedQueues[j.Queue] = queue
+		c.cancelIfTombstoned(j.ID)
 		s.jobs.OpenDueOccurrences(added, c.WallClock.Now())
 		pending.response.Outcome = messenger.OutcomeDone
 		c.wakePlanner()
@@ -191,7 +192,8 @@
 }
 
 // Cancel ends a job. It responds with messenger.OutcomeDone once the end of the job is recorded, also if the job had already ended. It responds
-// with messenger.OutcomeUnknown, without an effect, if the job's submission stays pending, because the job may exist afterwards.
+// with messenger.OutcomeUnknown, without an effect, if the job's submission stays pending, because the job may exist afterwards. An unknown job is
+// cancelled too, in case a copy of its submission arrives later.
 func (c *Coordinator) Cancel(ctx context.Context, request messenger.JobRequest) messenger.JobResponse {
 	c.state.mutex.Lock()
 	s := &c.state
@@ -215,8 +217,7 @@
 	}
 	j := s.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
-		c.state.mutex.Unlock()
-		return c.missingJob()
+		return c.cancelUnknown(ctx, jobKey{request.ID, request.Queue})
 	}
 	if s.jobs.Cancel(j, c.WallClock.Now()) {
 		c.Log.Info().Str("job", j.ID).Uint64("epoch", s.epoch).Msg("job cancelled")
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -66,14 +66,16 @@
 		// runs holds the run of each task that has a run whose result matters.
 		runs map[*bookkeeper.Task]*run
 
+		// tombstones holds the cancellations of jobs that were unknown.
+		tombstones map[jobKey]*tombstone
 		// pendingSubmissions holds the submissions that are not recorded yet, by the IDs of the jobs.
 		pendingSubmissions map[string]*pendingResponse
 		// The next four fields belong to the next write to the store: the jobs whose progress has changed, the run results that this progress
-		// contains, the functions that are called with the error of the write, and the IDs of the removed jobs.
+		// contains, the functions that are called with the error of the write, and the keys of the records to remove.
 		changedJobs       map[*bookkeeper.Job]struct{}
 		unrecordedResults []resultID
 		recordWaiters     []func(error)
-		removedJobs       []string
+		removedKeys       []string
 		// changedVMs holds the names of the VMs whose records must be written, because their mayHaveRuns has changed or they were lost.
 		changedVMs map[string]struct{}
 		// vmsWithChangedRuns holds the VMs whose runs may need orders, by their names. All VMs were last searched for due orders at
@@ -122,12 +124,13 @@
 	s.jobs, s.acceptedQueues = bookkeeper.New(), map[string]Queue{}
 	s.vms, s.runs, s.restoredJobs = map[string]*vm{}, map[*bookkeeper.Task]*run{}, map[*bookkeeper.Job]struct{}{}
 	s.pendingSubmissions, s.changedJobs = map[string]*pendingResponse{}, map[*bookkeeper.Job]struct{}{}
-	s.unrecordedResults, s.recordWaiters, s.removedJobs = nil, nil, nil
+	s.unrecordedResults, s.recordWaiters, s.removedKeys = nil, nil, nil
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
 	s.inquirer = inquirer.Inquirer{}
 	progress := map[string][]byte{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
+	c.restoreTombstones(records)
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, keyProgress); ok {
 			progress[id] = r.Value
@@ -166,6 +169,7 @@
 		if accepted.Epoch+1 == epoch {
 			s.predecessorsJobs[s.jobs.Job(id)] = struct{}{}
 		}
+		c.cancelIfTombstoned(id)
 	}
 	known, live := s.jobs.CountJobs()
 	c.Log.Info().Uint64("epoch", epoch).Int("jobs", known).Int("live", live).Int("vms", len(s.vms)).Msg("this entry now owns the jobs")
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -380,7 +380,10 @@
 		Eventually(responses).Should(Receive(HaveField("Outcome", messenger.OutcomeDone)))
 		Expect(cluster.countRuns()).To(BeEmpty())
 		Expect(jobState("a")).To(Equal("cancelled"))
-		Expect(cluster.coordinator.Cancel(ctx, messenger.JobRequest{ID: "b", Queue: "q"}).Outcome).To(Equal(messenger.OutcomeNotFound))
+		go func() { responses <- cluster.coordinator.Cancel(ctx, messenger.JobRequest{ID: "b", Queue: "q"}) }()
+		Consistently(responses).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+		cluster.journal.flush()
+		Eventually(responses).Should(Receive(HaveField("Outcome", messenger.OutcomeNotFound)))
 	})
 
 	It("fails a job when one of its tasks has reached the failure limit, and stops the job's other runs", func() {
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Tick opens due occurrences, removes lost VMs, stops runs on draining VMs and removes ended jobs whose retention is over. It also logs the
+// Tick opens due occurrences, removes lost VMs, stops runs on draining VMs and removes ended jobs and tombstones whose retention is over. It also logs the
 // total load and requests a record of the interference model when these are due.
 func (c *Coordinator) Tick() {
 	c.state.mutex.Lock()
@@ -121,12 +121,14 @@
 		s.runsKnown = true
 		c.Log.Info().Uint64("epoch", s.epoch).Dur("after", now.Sub(s.takenOverAt)).Int("vms", len(s.vms)).Msg("all runs that earlier owners may have started are known")
 	}
-	s.jobs.RemoveEnded(wallTime.Add(-c.Limits.Retention-retentionMargin), func(j *bookkeeper.Job) {
-		s.removedJobs = append(s.removedJobs, j.ID)
+	endedBefore := wallTime.Add(-c.Limits.Retention - retentionMargin)
+	c.removeOldTombstones(endedBefore)
+	s.jobs.RemoveEnded(endedBefore, func(j *bookkeeper.Job) {
+		s.removedKeys = append(s.removedKeys, keyJob+j.ID, keyProgress+j.ID)
 		delete(s.restoredJobs, j)
 		delete(s.predecessorsJobs, j)
 	})
-	if len(s.removedJobs) > 0 {
+	if len(s.removedKeys) > 0 {
 		c.Journal.Notify()
 	}
 }
--- a/internal/batch/coordinator/record.go
+++ b/internal/batch/coordinator/record.go
@@ -11,7 +11,7 @@
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
 	s := &c.state
-	if !s.owning || len(s.changedJobs)+len(s.recordWaiters)+len(s.removedJobs)+len(s.changedVMs) == 0 && !s.modelRecordDue {
+	if !s.owning || len(s.changedJobs)+len(s.recordWaiters)+len(s.removedKeys)+len(s.changedVMs) == 0 && !s.modelRecordDue {
 		return committer.Write{}, false
 	}
 	var records []storekeeper.Record
@@ -20,8 +20,8 @@
 		records = append(records, storekeeper.Record{Key: keyProgress + j.ID, Value: j.Progress()})
 		recordedStates[j] = j.State()
 	}
-	for _, id := range s.removedJobs {
-		records = append(records, storekeeper.Record{Key: keyJob + id}, storekeeper.Record{Key: keyProgress + id})
+	for _, key := range s.removedKeys {
+		records = append(records, storekeeper.Record{Key: key})
 	}
 	var vmsWithRecord []*vm
 	for name := range s.changedVMs {
@@ -37,7 +37,7 @@
 		s.recordedUpdates, s.modelRecordDue = s.interferenceModel.Updates(), false
 	}
 	results, waiters, epoch := s.unrecordedResults, s.recordWaiters, s.epoch
-	s.changedJobs, s.unrecordedResults, s.recordWaiters, s.removedJobs = map[*bookkeeper.Job]struct{}{}, nil, nil, nil
+	s.changedJobs, s.unrecordedResults, s.recordWaiters, s.removedKeys = map[*bookkeeper.Job]struct{}{}, nil, nil, nil
 	s.changedVMs = map[string]struct{}{}
 	return committer.Write{Records: records, Done: func(err error) {
 		c.applyStoredWrite(epoch, err, recordedStates, results, vmsWithRecord)
