coordinator: a long-running task is started again after every end of its runs

Cause: the meaning of an outcome was decided in two places, and the one for current runs took done as the completion of any task.

Change: effectOf gives each outcome its one meaning for each kind of task; the bookkeeper never counts a long-running task as done, nor its failures.

--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -265,9 +265,9 @@
 }
 
 // TaskDone records that the task is done. If the step is a gang, all tasks of the step are then done. TaskDone returns false if the task was
-// done before.
+// done before. A long-running task is never done.
 func (b *Bookkeeper) TaskDone(t *Task, now time.Time) bool {
-	if t.done {
+	if t.done || t.Step.LongRunning {
 		return false
 	}
 	s := t.Step
@@ -297,9 +297,12 @@
 }
 
 // RunFailed records that the run of the task with the number failed on the VM. The job fails once the task has failureLimit failed runs, unless
-// failureLimit is 0 or the task is long-running. A run counts once, even if its result is reported repeatedly or after that of a later run.
+// failureLimit is 0. The failures of a long-running task are not counted. A run counts once, even if its result is reported repeatedly or after that of a later run.
 func (b *Bookkeeper) RunFailed(t *Task, number int, vm string, failureLimit int, now time.Time) {
 	t.SkipRunNumbersTo(number)
+	if t.Step.LongRunning {
+		return
+	}
 	failed := failedRun{number, vm}
 	if !slices.Contains(t.failedRuns, failed) {
 		if n := slices.Index(t.failedRuns, failedRun{number: number}); n >= 0 {
@@ -309,7 +312,7 @@
 			t.failedRuns = append(t.failedRuns, failed)
 		}
 	}
-	if failureLimit > 0 && !t.Step.LongRunning && len(t.failedRuns) >= failureLimit && t.Step.Job.Live() {
+	if failureLimit > 0 && len(t.failedRuns) >= failureLimit && t.Step.Job.Live() {
 		b.endJob(t.Step.Job, StateFailed, now)
 	}
 }
--- a/internal/batch/bookkeeper/record.go
+++ b/internal/batch/bookkeeper/record.go
@@ -66,10 +66,8 @@
 			r.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		if len(t.failedRuns) > 0 && !t.Step.LongRunning {
-			for _, failed := range t.failedRuns {
-				r.FailedRuns[i], r.FailedRunVMs[i] = append(r.FailedRuns[i], failed.number), append(r.FailedRunVMs[i], failed.vm)
-			}
+		for _, failed := range t.failedRuns {
+			r.FailedRuns[i], r.FailedRunVMs[i] = append(r.FailedRuns[i], failed.number), append(r.FailedRunVMs[i], failed.vm)
 		}
 		if t.checkpoint != "" {
 			r.Checkpoints[i] = t.checkpoint
@@ -149,7 +147,8 @@
 // restore sets the progress of the step's tasks from the store.
 func (s *Step) restore(r stepProgress) {
 	for i, t := range s.Tasks {
-		t.done = i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0
+		// Records of earlier versions may contain long-running tasks as done.
+		t.done = !s.LongRunning && i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0
 		t.checkpoint, t.lastRunNumber = r.Checkpoints[i], r.LastRunNumbers[i]
 		for n, number := range r.FailedRuns[i] {
 			failed := failedRun{number: number}
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -399,16 +399,30 @@
 		Expect(cluster.countRuns()).To(BeEmpty())
 	})
 
-	It("starts long-running tasks again after each of their runs, whatever the outcome of the run", func() {
-		submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 2, Size: size, LongRunning: true}}})
-		cluster.simulate(200 * time.Millisecond)
-		for _, outcome := range []string{messenger.RunFailed, messenger.RunFailed, messenger.RunFailed, messenger.RunLeaseExpired} {
-			cluster.finishAllRuns(outcome)
-			cluster.simulate(time.Second)
-			Expect(cluster.countRuns()).To(HaveLen(2))
-		}
-		Expect(jobState("a")).To(Equal("running"))
-	})
+	// Guards against a long-running task that stays away because its program has ended without an error.
+	for _, gang := range []bool{false, true} {
+		It(fmt.Sprintf("starts long-running tasks again after each of their runs, whatever the outcome of the run, gang: %t", gang), func() {
+			submit(job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 2, Size: size, LongRunning: true, Gang: gang}}})
+			cluster.simulate(200 * time.Millisecond)
+			for _, outcome := range []string{
+				messenger.RunFailed, messenger.RunFailed, messenger.RunFailed, messenger.RunLeaseExpired, messenger.RunDone, messenger.RunStopped,
+				messenger.RunBroken, messenger.RunAlone, messenger.RunLost, messenger.RunDone,
+			} {
+				cluster.finishAllRuns(outcome)
+				cluster.simulate(time.Second)
+				Expect(cluster.countRuns()).To(HaveLen(2), outcome)
+				if outcome == messenger.RunDone {
+					// The next owner must not take the task for done either.
+					cluster.takeOver()
+					cluster.simulate(time.Second)
+					cluster.finishAllRuns(messenger.RunLeaseExpired)
+					cluster.simulate(time.Second)
+					Expect(cluster.countRuns()).To(HaveLen(2), "next owner after "+outcome)
+				}
+			}
+			Expect(jobState("a")).To(Equal("running"))
+		})
+	}
 
 	Describe("with unavailable agents, endpoints and VMs", func() {
 		It("repeats an order without a response and starts the task once", func() {
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -193,14 +193,13 @@
 	if t == nil || t.IsDone() || !t.Step.Job.Live() {
 		return
 	}
-	switch result.Outcome {
-	case messenger.RunFailed:
+	switch effectOf(t.Step, result.Outcome) {
+	case effectRestart:
+		return
+	case effectFailure:
 		c.state.jobs.RunFailed(t, result.Number, v.Name, c.queueOf(t.Step.Job).Attempts, c.WallClock.Now())
 		c.Log.Info().Str("task", result.Task).Int("run", result.Number).Int("failures", t.Failures()).Msg("counted the failure of an earlier run of a task")
-	case messenger.RunDone:
-		if t.Step.LongRunning {
-			return
-		}
+	case effectCompletion:
 		c.state.jobs.TaskDone(t, c.WallClock.Now())
 		c.Log.Info().Str("task", result.Task).Int("run", result.Number).Msg("an earlier run has completed a task")
 		for _, member := range t.Step.Tasks {
@@ -365,22 +364,22 @@
 	}
 	x.needed = false
 	t, j := x.task, x.task.Step.Job
-	switch result.Outcome {
-	case messenger.RunDone:
+	if result.Outcome == messenger.RunFailed && v.breaker.Failed(j.ID, now) {
+		c.Log.Warn().Str("vm", v.Name).Msg("circuit breaker opened: VM is out of use because runs of several jobs fail there")
+	}
+	checkpoint := result.Checkpoint
+	if checkpoint == "" && result.Outcome != messenger.RunFailed {
+		checkpoint = x.lastReport.Checkpoint
+	}
+	switch effectOf(t.Step, result.Outcome) {
+	case effectCompletion:
 		c.state.jobs.TaskDone(t, c.WallClock.Now())
 		v.breaker.Succeeded()
-	case messenger.RunFailed:
-		c.state.jobs.SetCheckpoint(t, result.Checkpoint)
+	case effectFailure:
+		c.state.jobs.SetCheckpoint(t, checkpoint)
 		c.state.jobs.RunFailed(t, x.number, v.Name, c.queueOf(j).Attempts, c.WallClock.Now())
 		c.state.jobs.WaitAgain(t, c.WallClock.Now())
-		if v.breaker.Failed(j.ID, now) {
-			c.Log.Warn().Str("vm", v.Name).Msg("circuit breaker opened: VM is out of use because runs of several jobs fail there")
-		}
-	default:
-		checkpoint := result.Checkpoint
-		if checkpoint == "" {
-			checkpoint = x.lastReport.Checkpoint
-		}
+	case effectRestart:
 		c.state.jobs.SetCheckpoint(t, checkpoint)
 		c.state.jobs.WaitAgain(t, c.WallClock.Now())
 	}
