bookkeeper, committer: no record outgrows the store, and a refusal for good concerns one write

Cause: the progress of a job was one record, which had grown beyond RecordBytes. The store refuses it with 400 for good, and the committer repeated the batch without end, with all later writes behind it. The store answered each append at once, so an outage is ruled out.

--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -46,7 +46,7 @@
 func (t *Task) WaitingSince() time.Time { return t.waitingSince }
 
 // Failures returns how many runs of the task have failed. Runs that were stopped or were lost with their VM do not count as failed.
-func (t *Task) Failures() int { return len(t.failedRuns) }
+func (t *Task) Failures() int { return len(t.failedRuns) + t.earlierFailures }
 
 // Checkpoint returns the checkpoint from which the next run resumes. If it is empty, the run starts from the beginning.
 func (t *Task) Checkpoint() string { return t.checkpoint }
@@ -55,7 +55,15 @@
 func (t *Task) NextRunNumber() int { return t.lastRunNumber + 1 }
 
 // SkipRunNumbersTo makes later runs of the task get numbers above the given one.
-func (t *Task) SkipRunNumbersTo(number int) { t.lastRunNumber = max(t.lastRunNumber, number) }
+func (t *Task) SkipRunNumbersTo(number int) {
+	if number <= t.lastRunNumber {
+		return
+	}
+	t.lastRunNumber = number
+	if number > 1 {
+		t.changed()
+	}
+}
 
 // Remaining returns how many tasks of the step are not done.
 func (s *Step) Remaining() int { return s.remaining }
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -44,12 +44,15 @@
 		endedAt time.Time
 		// visibleState is the state that callers may see. The end of a job becomes visible once it is recorded in the store.
 		visibleState string
+		recorded     recordedProgress
 	}
 
 	// occurrence is one execution of all steps of a job.
 	occurrence struct {
-		number          int
-		steps           []*Step
+		number int
+		steps  []*Step
+		// tasks holds the tasks of all steps, in the order of the steps.
+		tasks           []*Task
 		unfinishedSteps int
 	}
 
@@ -61,6 +64,8 @@
 		Occurrence int
 		Number     int
 		Tasks      []*Task
+		// firstTask is the number of tasks in the earlier steps of the occurrence.
+		firstTask int
 		// remaining is the number of tasks that are not done.
 		remaining int
 		// ready reports whether all tasks of the steps that this step depends on are done.
@@ -78,7 +83,9 @@
 		// done reports whether a run has completed the task. In a gang, a run of any of its tasks completes all of them.
 		done bool
 		// failedRuns holds the failed runs. Runs that were stopped or were lost with their VM do not count as failed.
-		failedRuns []failedRun
+		// earlierFailures is the number of those beyond the last maxKeptFailures.
+		failedRuns      []failedRun
+		earlierFailures int
 		// checkpoint is the checkpoint from which the next run resumes. If it is empty, the run starts from the beginning.
 		checkpoint string
 		// lastRunNumber is the highest number that a run of the task has or that was skipped.
@@ -165,10 +172,11 @@
 	if !ok {
 		o = &occurrence{number: number, unfinishedSteps: len(j.Steps)}
 		for n, s := range j.Steps {
-			step := &Step{Step: s, Job: j, Occurrence: number, Number: n, remaining: s.TaskCount}
+			step := &Step{Step: s, Job: j, Occurrence: number, Number: n, remaining: s.TaskCount, firstTask: len(o.tasks)}
 			for i := range s.TaskCount {
 				step.Tasks = append(step.Tasks, &Task{Step: step, Index: i})
 			}
+			o.tasks = append(o.tasks, step.Tasks...)
 			o.steps = append(o.steps, step)
 		}
 		j.openedOccurrences[number] = o
@@ -274,10 +282,12 @@
 	if s.Gang {
 		for _, member := range s.Tasks {
 			member.done, member.waiting = true, false
+			member.changed()
 		}
 		s.remaining = 0
 	} else {
 		t.done, t.waiting = true, false
+		t.changed()
 		s.remaining--
 	}
 	o := s.Job.openedOccurrences[s.Occurrence]
@@ -289,6 +299,7 @@
 	if o.unfinishedSteps > 0 || !s.Job.Live() {
 		return true
 	}
+	o.dropBlocks(&s.Job.recorded)
 	s.Job.finishedOccurrences++
 	if s.Job.finishedOccurrences == s.Job.Occurrences {
 		b.endJob(s.Job, StateCompleted, now)
@@ -311,8 +322,13 @@
 		} else {
 			t.failedRuns = append(t.failedRuns, failed)
 		}
+		if len(t.failedRuns) > maxKeptFailures {
+			t.failedRuns = t.failedRuns[1:]
+			t.earlierFailures++
+		}
+		t.changed()
 	}
-	if failureLimit > 0 && len(t.failedRuns) >= failureLimit && t.Step.Job.Live() {
+	if failureLimit > 0 && t.Failures() >= failureLimit && t.Step.Job.Live() {
 		b.endJob(t.Step.Job, StateFailed, now)
 	}
 }
@@ -336,10 +352,12 @@
 	if t.Step.Gang {
 		for _, member := range t.Step.Tasks {
 			member.checkpoint = checkpoint
+			member.changed()
 		}
 		return
 	}
 	t.checkpoint = checkpoint
+	t.changed()
 }
 
 // Cancel ends the job in StateCancelled. It returns false if the job had already ended.
@@ -356,6 +374,7 @@
 // endJob ends the job in the state. Its tasks no longer wait.
 func (b *Bookkeeper) endJob(j *Job, state string, now time.Time) {
 	j.state, j.endedAt = state, now
+	j.dropBlocks()
 	delete(b.liveJobs, j.ID)
 	for _, o := range j.openedOccurrences {
 		for _, s := range o.steps {
--- a/internal/batch/bookkeeper/bookkeeper_test.go
+++ b/internal/batch/bookkeeper/bookkeeper_test.go
@@ -81,7 +81,7 @@
 		Expect(j.Live()).To(BeTrue())
 		progress := j.Progress()
 		b = bookkeeper.New()
-		Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
+		Expect(b.Restore(twoStepJob("a"), progress, nil, now)).To(Succeed())
 		b.RunFailed(task(0, 0), 1, "vm", 2, now)
 		Expect(b.Job("a").Live()).To(BeTrue())
 		Expect(task(0, 0).Failures()).To(Equal(1))
@@ -97,7 +97,7 @@
 		Expect(task(0, 0).Failures()).To(Equal(2))
 		progress := j.Progress()
 		b = bookkeeper.New()
-		Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
+		Expect(b.Restore(twoStepJob("a"), progress, nil, now)).To(Succeed())
 		b.RunFailed(task(0, 0), 1, "y", 3, now)
 		b.RunFailed(task(0, 0), 1, "x", 3, now)
 		Expect(task(0, 0).Failures()).To(Equal(2))
@@ -108,7 +108,7 @@
 	// Guards against a failure that counts twice because an earlier version of the program recorded it without its VM, and against a record that
 	// an earlier version cannot read or counts differently.
 	It("reads and writes the numbers of failed runs as earlier versions do", func() {
-		Expect(b.Restore(twoStepJob("a"), []byte(`{"state":"running","occurrences":{"0":[{"failed-runs":{"0":[1,3]}},{}]}}`), now)).To(Succeed())
+		Expect(b.Restore(twoStepJob("a"), []byte(`{"state":"running","occurrences":{"0":[{"failed-runs":{"0":[1,3]}},{}]}}`), nil, now)).To(Succeed())
 		Expect(task(0, 0).Failures()).To(Equal(2))
 		Expect(task(0, 0).NextRunNumber()).To(Equal(4))
 		for range 2 {
@@ -171,7 +171,7 @@
 				progress = j.Progress()
 			}
 			b = bookkeeper.New()
-			Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
+			Expect(b.Restore(twoStepJob("a"), progress, nil, now)).To(Succeed())
 			Expect(waitingTasks()).To(Equal(c.wantWaiting))
 			Expect(task(0, 0) == nil).To(Equal(c.wantState == bookkeeper.StateCancelled))
 			Expect(b.Job("a").State()).To(Equal(c.wantState))
@@ -186,7 +186,7 @@
 		b.RunFailed(task(0, 1), 3, "vm", 9, now)
 		progress := j.Progress()
 		b = bookkeeper.New()
-		Expect(b.Restore(twoStepJob("a"), progress, now)).To(Succeed())
+		Expect(b.Restore(twoStepJob("a"), progress, nil, now)).To(Succeed())
 		Expect(task(0, 1).Checkpoint()).To(Equal("c"))
 		Expect(task(0, 1).Failures()).To(Equal(1))
 		Expect(task(0, 1).NextRunNumber()).To(Equal(4))
@@ -213,8 +213,8 @@
 	})
 
 	It("rejects recorded progress that does not match the job or cannot be decoded", func() {
-		Expect(b.Restore(twoStepJob("a"), []byte(`{"state":"running","occurrences":{"0":[]}}`), now)).NotTo(Succeed())
-		Expect(b.Restore(twoStepJob("b"), []byte(`{`), now)).NotTo(Succeed())
+		Expect(b.Restore(twoStepJob("a"), []byte(`{"state":"running","occurrences":{"0":[]}}`), nil, now)).NotTo(Succeed())
+		Expect(b.Restore(twoStepJob("b"), []byte(`{`), nil, now)).NotTo(Succeed())
 	})
 
 	// Guards against records that make each new owner end, because it creates the tasks of a job of any size, and against jobs that are half
@@ -242,7 +242,7 @@
 			if c.change != nil {
 				c.change(&j)
 			}
-			Expect(b.Restore(j, []byte(c.progress), now)).NotTo(Succeed())
+			Expect(b.Restore(j, []byte(c.progress), nil, now)).NotTo(Succeed())
 			Expect(b.Job("a")).To(BeNil())
 			Expect(b.LiveJobs()).To(BeEmpty())
 		})
--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -23,6 +23,8 @@
 	// infeasibleRetryAfter is the time after which a caller may submit a job again that was refused because no VM can run it. Adding a suitable
 	// VM takes at least that long.
 	infeasibleRetryAfter = 30 * time.Second
+	// maxRecordFraming is the highest number of bytes that the store adds to a key and a value in a record.
+	maxRecordFraming = 8
 )
 
 // Submit accepts the job in the request, or refuses it. It responds with messenger.OutcomeDone once the job is recorded, also if the job was
@@ -59,6 +61,14 @@
 	if err != nil {
 		panic("coordinator: cannot encode a job: " + err.Error())
 	}
+	if size := len(keyJob) + len(request.Job.ID) + len(record) + maxRecordFraming; c.Limits.RecordBytes > 0 && size > c.Limits.RecordBytes {
+		c.Log.Info().Str("job", request.Job.ID).Int("bytes", size).Int("limit", c.Limits.RecordBytes).Msg("submission refused: its record is too large")
+		c.completeSubmission(pending, request.Job, queue, storekeeper.ErrRejected)
+		return messenger.JobResponse{
+			Outcome: messenger.OutcomeInvalid,
+			Reason:  "the job takes " + strconv.Itoa(size) + " bytes in the store, at most " + strconv.Itoa(c.Limits.RecordBytes) + " are possible",
+		}
+	}
 	c.Journal.Append(committer.Write{
 		Records:  []storekeeper.Record{{Key: keyJob + request.Job.ID, Value: record}},
 		FailFast: true,
@@ -142,6 +152,8 @@
 		s.jobs.OpenDueOccurrences(added, c.WallClock.Now())
 		pending.response.Outcome = messenger.OutcomeDone
 		c.wakePlanner()
+	case errors.Is(err, storekeeper.ErrRejected):
+		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeInvalid, Reason: "the store does not accept the record of the job"}
 	case errors.Is(err, storekeeper.ErrNotAppended):
 		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotExecuted, Reason: "store refused", RetryAfter: storeRetryAfter}
 	default:
@@ -154,9 +166,12 @@
 	close(pending.done)
 }
 
-// responseAfterLostWrite returns the response to a request whose write has failed with err because the ownership has ended. Unless the store
+// responseAfterLostWrite returns the response to a request whose write has failed with err, mostly because the ownership has ended. Unless the store
 // has certainly not appended the write, the next owner may find it.
 func responseAfterLostWrite(err error) messenger.JobResponse {
+	if errors.Is(err, storekeeper.ErrRejected) {
+		return messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "the store does not accept the record"}
+	}
 	return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: !errors.Is(err, storekeeper.ErrFenced)}
 }
 
@@ -223,9 +238,9 @@
 		c.Log.Info().Str("job", j.ID).Uint64("epoch", s.epoch).Msg("job cancelled")
 		c.stopRunsOf(j)
 	}
-	s.changedJobs[j] = struct{}{}
 	pending := &pendingResponse{done: make(chan struct{})}
-	s.recordWaiters = append(s.recordWaiters, func(err error) {
+	change := c.jobChanged(j)
+	change.waiters = append(change.waiters, func(err error) {
 		pending.response.Outcome = messenger.OutcomeDone
 		if err != nil {
 			pending.response = responseAfterLostWrite(err)
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -18,11 +18,12 @@
 	"bamboohook/internal/fleet/storekeeper"
 )
 
-// Keys of the records in the store. keyJob and keyProgress are followed by the ID of a job, keyVM by the name of a VM. keyModel is the whole key
-// of the interference model's record.
+// Keys of the records in the store. keyJob and keyProgress are followed by the ID of a job, keyBlock also by the name of a block of its tasks, keyVM
+// by the name of a VM. keyModel is the whole key of the interference model's record.
 const (
 	keyJob      = "job/"
 	keyProgress = "progress/"
+	keyBlock    = "tasks/"
 	keyVM       = "vm/"
 	keyModel    = "pressures"
 )
@@ -70,12 +71,13 @@
 		tombstones map[jobKey]*tombstone
 		// pendingSubmissions holds the submissions that are not recorded yet, by the IDs of the jobs.
 		pendingSubmissions map[string]*pendingResponse
-		// The next four fields belong to the next write to the store: the jobs whose progress has changed, the run results that this progress
-		// contains, the functions that are called with the error of the write, and the keys of the records to remove.
-		changedJobs       map[*bookkeeper.Job]struct{}
-		unrecordedResults []resultID
-		recordWaiters     []func(error)
-		removedKeys       []string
+		// The next fields belong to the next writes to the store: the jobs whose progress has changed, in the order of their turns, their changes,
+		// and the keys of the records to remove.
+		changedJobs []*bookkeeper.Job
+		changes     map[*bookkeeper.Job]*jobChange
+		removedKeys []string
+		// delayedRetries holds what Tick will do about rejected writes, in the order of the times.
+		delayedRetries []delayedRetry
 		// changedVMs holds the names of the VMs whose records must be written, because their mayHaveRuns has changed or they were lost.
 		changedVMs map[string]struct{}
 		// vmsWithChangedRuns holds the VMs whose runs may need orders, by their names. All VMs were last searched for due orders at
@@ -123,18 +125,27 @@
 	s.owning, s.epoch, s.takenOverAt, s.runsKnown, s.lastSession = true, epoch, now, false, 0
 	s.jobs, s.acceptedQueues = bookkeeper.New(), map[string]Queue{}
 	s.vms, s.runs, s.restoredJobs = map[string]*vm{}, map[*bookkeeper.Task]*run{}, map[*bookkeeper.Job]struct{}{}
-	s.pendingSubmissions, s.changedJobs = map[string]*pendingResponse{}, map[*bookkeeper.Job]struct{}{}
-	s.unrecordedResults, s.recordWaiters, s.removedKeys = nil, nil, nil
+	s.pendingSubmissions, s.changes = map[string]*pendingResponse{}, map[*bookkeeper.Job]*jobChange{}
+	s.changedJobs, s.removedKeys, s.delayedRetries = nil, nil, nil
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
 	s.inquirer = inquirer.Inquirer{}
-	progress := map[string][]byte{}
+	progress, blocks, accepted := map[string][]byte{}, map[string]map[string][]byte{}, map[string]struct{}{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
 	c.restoreTombstones(records)
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, keyProgress); ok {
 			progress[id] = r.Value
 		}
+		if id, ok := strings.CutPrefix(r.Key, keyJob); ok {
+			accepted[id] = struct{}{}
+		}
+		if id, block, ok := parseBlockKey(r.Key); ok {
+			if blocks[id] == nil {
+				blocks[id] = map[string][]byte{}
+			}
+			blocks[id][block] = r.Value
+		}
 		if r.Key == keyModel {
 			if err := s.interferenceModel.Restore(r.Value); err != nil {
 				// Later measurements fill the empty model again.
@@ -142,6 +153,14 @@
 			}
 		}
 	}
+	for id, names := range blocks {
+		if _, ok := accepted[id]; ok {
+			continue
+		}
+		for name := range names {
+			s.removedKeys = append(s.removedKeys, blockKey(id, name))
+		}
+	}
 	for _, r := range records {
 		if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
 			s.vms[name] = c.newVM(name)
@@ -157,7 +176,7 @@
 			err = eris.New("coordinator: the record contains a job with another ID than its key")
 		}
 		if err == nil {
-			err = s.jobs.Restore(accepted.Job, progress[id], c.WallClock.Now())
+			err = s.jobs.Restore(accepted.Job, progress[id], blocks[id], c.WallClock.Now())
 		}
 		if err != nil {
 			// The record stays in the store, because a later version of the program may be able to read it.
@@ -170,8 +189,12 @@
 			s.predecessorsJobs[s.jobs.Job(id)] = struct{}{}
 		}
 		c.cancelIfTombstoned(id)
+		if j := s.jobs.Job(id); j.HasUnrecorded() {
+			c.jobChanged(j)
+		}
 	}
 	known, live := s.jobs.CountJobs()
+	c.Journal.Notify()
 	c.Log.Info().Uint64("epoch", epoch).Int("jobs", known).Int("live", live).Int("vms", len(s.vms)).Msg("this entry now owns the jobs")
 	c.wakePlanner()
 }
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -316,7 +316,7 @@
 			}()
 			var response messenger.JobResponse
 			Eventually(func() bool {
-				if w, ok := cluster.coordinator.CollectWrite(); ok {
+				for _, w := range cluster.coordinator.CollectWrites() {
 					w.Done(c.err)
 				}
 				select {
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -187,9 +187,7 @@
 		writes := o.queue
 		o.queue = nil
 		o.mutex.Unlock()
-		if c, ok := o.coordinator.CollectWrite(); ok {
-			writes = append(writes, c)
-		}
+		writes = append(writes, o.coordinator.CollectWrites()...)
 		w.pause(w.ctx, 0, maxStoreDelay)
 		stored := false
 		w.locked(func(w *simWorld) {
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -52,8 +52,8 @@
 	pendingWrites := j.pendingWrites
 	j.pendingWrites = nil
 	j.mutex.Unlock()
-	if w, ok := j.coordinator.CollectWrite(); ok {
-		pendingWrites = append(pendingWrites, w)
+	for writes := j.coordinator.CollectWrites(); len(writes) > 0; writes = j.coordinator.CollectWrites() {
+		pendingWrites = append(pendingWrites, writes...)
 	}
 	for _, w := range pendingWrites {
 		if j.err == nil || !w.FailFast {
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -31,7 +31,7 @@
 	Journal interface {
 		// Append queues a write. The journal calls its Done function once the write is stored or has failed.
 		Append(w committer.Write)
-		// Notify makes the journal call Coordinator.CollectWrite soon.
+		// Notify makes the journal call Coordinator.CollectWrites soon.
 		Notify()
 		// Degraded reports whether the store fails or is slow, so that a write is unlikely to be stored soon.
 		Degraded() bool
@@ -71,6 +71,8 @@
 		MissTolerance time.Duration
 		// StopTimeout is the longest time between the confirmation of a stop by an endpoint and the end of the run.
 		StopTimeout time.Duration
+		// RecordBytes is the size of the largest record that the store accepts. 0 means no limit.
+		RecordBytes int
 	}
 
 	// Queue is the configuration of a queue to which jobs are submitted.
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -121,10 +121,14 @@
 		s.runsKnown = true
 		c.Log.Info().Uint64("epoch", s.epoch).Dur("after", now.Sub(s.takenOverAt)).Int("vms", len(s.vms)).Msg("all runs that earlier owners may have started are known")
 	}
+	c.makeDelayedRetries(now)
 	endedBefore := wallTime.Add(-c.Limits.Retention - retentionMargin)
 	c.removeOldTombstones(endedBefore)
 	s.jobs.RemoveEnded(endedBefore, func(j *bookkeeper.Job) {
 		s.removedKeys = append(s.removedKeys, keyJob+j.ID, keyProgress+j.ID)
+		for _, block := range j.StoredBlocks() {
+			s.removedKeys = append(s.removedKeys, blockKey(j.ID, block))
+		}
 		delete(s.restoredJobs, j)
 		delete(s.predecessorsJobs, j)
 	})
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -176,8 +176,8 @@
 			v.markRecorded(r.Incarnation, result.Sequence)
 			continue
 		}
-		c.state.changedJobs[j] = struct{}{}
-		c.state.unrecordedResults = append(c.state.unrecordedResults, resultID{v, r.Incarnation, result.Sequence})
+		change := c.jobChanged(j)
+		change.results = append(change.results, resultID{v, r.Incarnation, result.Sequence})
 		c.Journal.Notify()
 	}
 }
@@ -383,7 +383,7 @@
 		c.state.jobs.SetCheckpoint(t, checkpoint)
 		c.state.jobs.WaitAgain(t, c.WallClock.Now())
 	}
-	c.state.changedJobs[j] = struct{}{}
+	c.jobChanged(j)
 	c.Journal.Notify()
 	if !j.Live() {
 		c.stopRunsOf(j)
--- a/internal/batch/coordinator/tombstone.go
+++ b/internal/batch/coordinator/tombstone.go
@@ -78,6 +78,11 @@
 			t.response.response = messenger.JobResponse{Outcome: messenger.OutcomeNotFound}
 			if err != nil {
 				t.response.response = responseAfterLostWrite(err)
+				s.mutex.Lock()
+				if s.tombstones[k] == t {
+					delete(s.tombstones, k)
+				}
+				s.mutex.Unlock()
 			}
 			c.Log.Info().Err(err).Str("job", k.id).Uint64("epoch", epoch).Msg("cancellation of an unknown job recorded")
 			close(t.response.done)
@@ -111,7 +116,7 @@
 		return
 	}
 	c.Log.Info().Str("job", j.ID).Uint64("epoch", c.state.epoch).Msg("job cancelled before its submission arrived")
-	c.state.changedJobs[j] = struct{}{}
+	c.jobChanged(j)
 	c.Journal.Notify()
 }
 
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -60,9 +60,9 @@
 // newPlatformEntry creates the components of an entry and connects them, without starting them.
 func newPlatformEntry(settings platform.Settings, logger zerolog.Logger) *platformEntry {
 	store, peerClient, clock := platform.NewStore(settings.StoreAddress), &caller.Client{}, boottimer.Clock{}
-	store.Log = logger
+	store.Log, store.MaxRecordBytes, store.MaxRequestBytes = logger, settings.MaxRecordBytes, settings.MaxRequestBytes
 	e := &platformEntry{settings: settings, logger: logger, meter: &meter.Meter{}}
-	e.committer = &committer.Committer{Store: store, Clock: clock, Log: logger, Meter: e.meter}
+	e.committer = &committer.Committer{Store: store, Clock: clock, Log: logger, Meter: e.meter, MaxBatchBytes: settings.MaxRequestBytes / 2}
 	e.elector = &elector.Elector{
 		Address: settings.PeerAddress, Generation: rand.Text(), Weight: settings.Processors + processorsPerMbps*settings.Link, Seeds: settings.Entries,
 		CongestionTime: congestionTime(settings),
@@ -76,7 +76,9 @@
 	e.coordinator = &coordinator.Coordinator{
 		Agents: peerClient, Journal: e.committer, Clock: clock, WallClock: wallClock{}, Log: logger, Meter: e.meter, Address: settings.PeerAddress,
 		Leases:         coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
-		Limits:         coordinator.Limits{Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout},
+		Limits: coordinator.Limits{
+			Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout, RecordBytes: settings.MaxRecordBytes,
+		},
 		MayGrantLeases: e.elector.MayGrantLeases,
 		OwnedAt:        e.elector.OwnedAt,
 	}
@@ -85,7 +87,7 @@
 		advisor.Log = logger
 		e.coordinator.Advisor = advisor
 	}
-	e.committer.Collect, e.committer.OnFenced, e.committer.OnAppended = e.coordinator.CollectWrite, e.elector.HandleFenced, e.elector.RecordAppend
+	e.committer.Collect, e.committer.OnFenced, e.committer.OnAppended = e.coordinator.CollectWrites, e.elector.HandleFenced, e.elector.RecordAppend
 	e.elector.OnOwnershipGained, e.elector.OnOwnershipLost = e.handleOwnershipGained, e.handleOwnershipLost
 	e.receptionist = &receptionist.Receptionist{
 		Address: settings.PeerAddress, LocalOwner: e.coordinator, PeerClient: peerClient, Ownership: e.elector, Clock: clock, Log: logger,
--- a/internal/fleet/committer/committer.go
+++ b/internal/fleet/committer/committer.go
@@ -24,14 +24,17 @@
 	// initialBackoff is the time until a failed append is repeated. It doubles with each repeat, up to maxBackoff.
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 400 * time.Millisecond
-	// maxBatchBytes is the maximum size of a batch of several writes. It is well below the store's limit for the size of one request.
-	maxBatchBytes = 1 << 20
+	// defaultMaxBatchBytes is the maximum size of a batch of several writes if none is set.
+	defaultMaxBatchBytes = 1 << 20
+	// recordOverhead is the number of bytes that the request with a batch contains for each record besides its key and its value.
+	recordOverhead = 5
 )
 
 type (
 	// Store is a client of the platform's store.
 	Store interface {
-		// Append returns storekeeper.ErrNotAppended or storekeeper.ErrFenced only if the batch was not appended and never will be.
+		// Append returns storekeeper.ErrNotAppended, storekeeper.ErrRejected or storekeeper.ErrFenced only if the batch was not appended and
+		// never will be. After ErrRejected, appending the same batch again can't succeed.
 		Append(ctx context.Context, batch storekeeper.Batch) error
 	}
 
@@ -47,9 +50,12 @@
 		Clock Clock
 		Log   zerolog.Logger
 		Meter *meter.Meter
-		// Collect returns a write with the changes of the owner's state since the previous call, or false if there are none.
-		// Collect may be nil.
-		Collect func() (Write, bool)
+		// Collect returns writes with changes of the owner's state since the previous call. It is called again until it returns none. It may be
+		// nil.
+		Collect func() []Write
+		// MaxBatchBytes is the maximum size of a batch of several writes. It must be below the store's limit for the size of one request. 0 means
+		// 1 MiB.
+		MaxBatchBytes int
 		// OnFenced is called with the epoch of an append that the store has rejected because a writer with a higher epoch exists.
 		// It may be nil.
 		OnFenced func(epoch uint64)
@@ -73,7 +79,8 @@
 
 	// Write is a group of records that goes into one batch. Done is called with nil once the records are stored. A FailFast write fails
 	// with storekeeper.ErrNotAppended when the store has certainly not appended it, or if it is still queued while an append fails or
-	// is slow. Other writes are retried until the epoch ends. At the end of an epoch all its pending writes fail: with
+	// is slow. Other writes are retried until the epoch ends. A write that the store rejects for good fails by itself with
+	// storekeeper.ErrRejected, and does not delay the others in its batch. At the end of an epoch all its pending writes fail: with
 	// storekeeper.ErrUnknown if the store may have appended them, and with storekeeper.ErrFenced if it has not and never will.
 	Write struct {
 		Records  []storekeeper.Record
@@ -178,9 +185,7 @@
 func (c *Committer) nextBatch() (storekeeper.Batch, []Write) {
 	var collected []Write
 	if c.Collect != nil {
-		if w, ok := c.Collect(); ok {
-			collected = append(collected, w)
-		}
+		collected = c.Collect()
 	}
 	if !c.enqueue(collected) {
 		completeWrites(collected, storekeeper.ErrFenced)
@@ -192,9 +197,9 @@
 	count, batchBytes := 0, 0
 	for _, w := range c.queue {
 		for _, r := range w.Records {
-			batchBytes += len(r.Key) + len(r.Value)
+			batchBytes += len(r.Key) + len(r.Value) + recordOverhead
 		}
-		if count > 0 && batchBytes > maxBatchBytes {
+		if count > 0 && batchBytes > c.maxBatchBytes() {
 			break
 		}
 		batch.Records = append(batch.Records, w.Records...)
@@ -205,6 +210,13 @@
 	return batch, writes
 }
 
+func (c *Committer) maxBatchBytes() int {
+	if c.MaxBatchBytes > 0 {
+		return c.MaxBatchBytes
+	}
+	return defaultMaxBatchBytes
+}
+
 // enqueue adds writes to the queue and returns true. Outside of an epoch it does nothing and returns false.
 func (c *Committer) enqueue(writes []Write) bool {
 	c.mutex.Lock()
@@ -245,6 +257,9 @@
 			c.handleFenced(batch, err)
 			completeWrites(writes, endOfEpochError(certainlyNotAppended))
 			return
+		case errors.Is(err, storekeeper.ErrRejected):
+			c.handleRejected(ctx, batch, writes, certainlyNotAppended, err)
+			return
 		case errors.Is(err, storekeeper.ErrNotAppended):
 			if certainlyNotAppended {
 				writes = failFailFastWrites(writes)
@@ -270,6 +285,51 @@
 	}
 }
 
+// handleRejected handles a batch that the store rejects for good. It sends each half of its writes as a batch of its own, so that in the end only the
+// writes that the store rejects by themselves fail. An earlier attempt may have appended the whole batch unless certainlyNotAppended is set; the
+// store then takes the first half for a repeat, and appending the records of the second half again changes nothing.
+func (c *Committer) handleRejected(ctx context.Context, batch storekeeper.Batch, writes []Write, certainlyNotAppended bool, err error) {
+	c.recordResponse()
+	if len(writes) == 1 {
+		c.Meter.Count("writes-rejected")
+		c.Log.Error().Err(err).Uint64("epoch", batch.Epoch).Int("records", len(batch.Records)).Str("first-key", firstKey(batch)).
+			Msg("the store rejects a write for good; it is given up")
+		if certainlyNotAppended {
+			writes[0].Done(storekeeper.ErrRejected)
+			return
+		}
+		writes[0].Done(storekeeper.ErrUnknown)
+		return
+	}
+	c.Log.Warn().Err(err).Uint64("epoch", batch.Epoch).Int("writes", len(writes)).Msg("the store rejects a batch for good; sending its writes apart")
+	for _, half := range [][]Write{writes[:len(writes)/2], writes[len(writes)/2:]} {
+		if ctx.Err() != nil || !c.isCurrentEpoch(batch.Epoch) {
+			completeWrites(half, endOfEpochError(certainlyNotAppended))
+			continue
+		}
+		part := storekeeper.Batch{Epoch: batch.Epoch, Sequence: c.nextSequence()}
+		for _, w := range half {
+			part.Records = append(part.Records, w.Records...)
+		}
+		c.commit(ctx, part, half)
+	}
+}
+
+// firstKey returns the key of the first record in the batch, or "".
+func firstKey(batch storekeeper.Batch) string {
+	if len(batch.Records) == 0 {
+		return ""
+	}
+	return batch.Records[0].Key
+}
+
+// nextSequence returns the number of the next batch.
+func (c *Committer) nextSequence() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.sequence + 1
+}
+
 // endOfEpochError returns the error of writes that are given up because their epoch has ended. certainlyNotAppended reports whether no
 // attempt can have appended them. The rejection of a later attempt doesn't show that.
 func endOfEpochError(certainlyNotAppended bool) error {
@@ -307,6 +367,13 @@
 	c.attemptStartedAt, c.lastFailureAt, c.lastSuccessAt = time.Time{}, time.Time{}, c.Clock.Now()
 }
 
+// recordResponse records that the attempt has ended with a response of a store that works.
+func (c *Committer) recordResponse() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.attemptStartedAt = time.Time{}
+}
+
 func (c *Committer) recordAttempt() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +26,8 @@
 	errors           []error
 	attemptedBatches []storekeeper.Batch
 	release          chan struct{}
+	// refused holds keys. The store rejects batches that contain one of them for good.
+	refused map[string]bool
 }
 
 func (s *store) Append(ctx context.Context, b storekeeper.Batch) error {
@@ -34,6 +38,11 @@
 	if len(s.errors) > 0 {
 		err, s.errors = s.errors[0], s.errors[1:]
 	}
+	for _, r := range b.Records {
+		if err == nil && s.refused[r.Key] {
+			err = eris.Wrap(storekeeper.ErrRejected, "status 400")
+		}
+	}
 	s.mutex.Unlock()
 	if release != nil {
 		select {
@@ -76,6 +85,57 @@
 
 	endEpoch := func() { c.EndEpoch(7) }
 
+	// Guards against an owner that records nothing any more because the store refuses one of its records for good.
+	for name, errs := range map[string][]error{
+		"":                                   nil,
+		" after an attempt without response": {errNoResponse},
+		" after a refusal for a while":       {storekeeper.ErrNotAppended},
+	} {
+		It("gives up only the write that the store rejects for good"+name, func() {
+			s.release, s.refused = make(chan struct{}), map[string]bool{"odd-3": true, "odd-11": true}
+			first := appendWrite("first", false)
+			Eventually(s.attempts).Should(HaveLen(1))
+			var odd, others []<-chan error
+			for n := range 20 {
+				key := fmt.Sprint("key-", n)
+				if n == 3 || n == 11 {
+					odd = append(odd, appendWrite(fmt.Sprint("odd-", n), n == 3))
+					continue
+				}
+				others = append(others, appendWrite(key, false))
+			}
+			s.mutex.Lock()
+			s.errors = errs
+			s.mutex.Unlock()
+			close(s.release)
+			Eventually(first).Should(Receive(BeNil()))
+			for _, done := range others {
+				Eventually(done).Should(Receive(BeNil()))
+			}
+			for _, done := range odd {
+				Eventually(done).Should(Receive(Or(MatchError(storekeeper.ErrNotAppended), MatchError(storekeeper.ErrUnknown))))
+			}
+			Eventually(appendWrite("later", true)).Should(Receive(BeNil()))
+			var sequences []uint64
+			stored := map[string]int{}
+			for _, b := range s.attempts() {
+				refused := slices.ContainsFunc(b.Records, func(r storekeeper.Record) bool { return s.refused[r.Key] })
+				if refused || len(sequences) > 0 && sequences[len(sequences)-1] == b.Sequence {
+					continue
+				}
+				sequences = append(sequences, b.Sequence)
+				for _, r := range b.Records {
+					stored[r.Key]++
+				}
+			}
+			Expect(stored).To(HaveLen(20))
+			for n, sequence := range sequences {
+				Expect(sequence).To(Equal(uint64(2 + n)))
+			}
+			Expect(c.Degraded()).To(BeFalse())
+		})
+	}
+
 	It("appends writes that were queued during an append as one batch with the next sequence number", func() {
 		s.release = make(chan struct{})
 		first := appendWrite("a", true)
--- a/internal/fleet/storekeeper/storekeeper.go
+++ b/internal/fleet/storekeeper/storekeeper.go
@@ -34,6 +34,8 @@
 var (
 	// ErrNotAppended reports that the batch was not appended and won't be appended later.
 	ErrNotAppended = eris.New("storekeeper: the batch was not appended")
+	// ErrRejected is an ErrNotAppended after which the store will not accept the same batch later either, for example because a record is too large.
+	ErrRejected = eris.Wrap(ErrNotAppended, "storekeeper: the store rejects the batch for good")
 	// ErrFenced reports that the batch was not appended because the store has seen a higher epoch, that is, because there is a newer
 	// owner.
 	ErrFenced = eris.New("storekeeper: a writer with a higher epoch exists")
