coordinator: a gang whose run has ended at one member is stopped, and its failures count together

Cause: the end of a member concerned only its own task. Two members with different failures never reached the limit.

Change: the end of a member's run stops the other runs with its number; the failed runs of a gang are counted by their numbers over all members.

--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -307,8 +307,8 @@
 	return true
 }
 
-// RunFailed records that the run of the task with the number failed on the VM. The job fails once the task has failureLimit failed runs, unless
-// failureLimit is 0. The failures of a long-running task are not counted. A run counts once, even if its result is reported repeatedly or after that of a later run.
+// RunFailed records that the run of the task with the number failed on the VM. The job fails once the task, or the gang to which it belongs, has
+// failureLimit failed runs, unless failureLimit is 0. The failures of a long-running task are not counted. A run counts once, even if its result is reported repeatedly or after that of a later run.
 func (b *Bookkeeper) RunFailed(t *Task, number int, vm string, failureLimit int, now time.Time) {
 	t.SkipRunNumbersTo(number)
 	if t.Step.LongRunning {
@@ -328,11 +328,28 @@
 		}
 		t.changed()
 	}
-	if failureLimit > 0 && t.Failures() >= failureLimit && t.Step.Job.Live() {
+	failures := t.Failures()
+	if t.Step.Gang {
+		failures = max(failures, t.Step.gangFailures())
+	}
+	if failureLimit > 0 && failures >= failureLimit && t.Step.Job.Live() {
 		b.endJob(t.Step.Job, StateFailed, now)
 	}
 }
 
+// gangFailures returns how many runs of the gang have failed. The runs of its tasks that work together have the same number.
+func (s *Step) gangFailures() int {
+	numbers := map[int]struct{}{}
+	earlier := 0
+	for _, t := range s.Tasks {
+		earlier = max(earlier, t.earlierFailures)
+		for _, f := range t.failedRuns {
+			numbers[f.number] = struct{}{}
+		}
+	}
+	return earlier + len(numbers)
+}
+
 // WaitAgain makes the task wait for its next start after one of its runs has ended without completing it. If the step is not ready yet, the
 // task waits from when the step becomes ready.
 func (b *Bookkeeper) WaitAgain(t *Task, now time.Time) {
--- a/internal/batch/coordinator/gang_test.go
+++ b/internal/batch/coordinator/gang_test.go
@@ -35,4 +35,78 @@
 			}
 		}
 	})
+
+	// Guards against runs of a gang that wait at their endpoints until they end as alone, because the start of another one was refused.
+	It("stops the other runs of a gang when one has not started", func() {
+		cluster := newTestCluster(4)
+		cluster.simulate(time.Second)
+		refusing := cluster.agents["vm-2"]
+		refusing.refusalReason = "report-too-old"
+		size := resource.Amount{MilliProcessors: 4000, MemoryBytes: 10}
+		submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 4, Size: size, Gang: true}}})
+		cluster.simulate(500 * time.Millisecond)
+		Expect(refusing.runs).To(BeEmpty())
+		refusing.refusalReason = ""
+		cluster.simulate(time.Second)
+		Expect(cluster.countRuns()).To(HaveLen(4))
+		numbers := map[int]int{}
+		for _, a := range cluster.agents {
+			for _, r := range a.runs {
+				numbers[r.Number]++
+			}
+		}
+		Expect(numbers).To(HaveLen(1), "all runs of the gang have the same number")
+	})
+
+	// Guards against a gang that never starts again: some of its runs have ended, and the others go on without them.
+	for _, outcome := range []string{messenger.RunFailed, messenger.RunStopped, messenger.RunLeaseExpired, messenger.RunBroken, messenger.RunAlone} {
+		It("starts a gang again after the end of one of its runs as "+outcome, func() {
+			cluster := newTestCluster(4)
+			cluster.queue.Attempts = 0
+			cluster.configure()
+			cluster.simulate(time.Second)
+			size := resource.Amount{MilliProcessors: 4000, MemoryBytes: 10}
+			submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 4, Size: size, Gang: true}}})
+			cluster.simulate(time.Second)
+			cluster.agentWith("a.0.0.1").finishRun("a.0.0.1", outcome)
+			cluster.simulate(time.Second)
+			Expect(cluster.countRuns()).To(HaveLen(4))
+			for _, a := range cluster.agents {
+				for _, r := range a.runs {
+					Expect(r.Number).To(Equal(2))
+				}
+			}
+		})
+	}
+
+	// Guards against a gang that starts more often than the failure limit allows, because its members fail in turn.
+	It("counts the failures of all members of a gang together", func() {
+		cluster := newTestCluster(3)
+		cluster.queue.Attempts = 3
+		cluster.configure()
+		cluster.simulate(time.Second)
+		size := resource.Amount{MilliProcessors: 2000, MemoryBytes: 10}
+		submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 3, Size: size, Gang: true}}})
+		state := func() string {
+			return cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: "a", Queue: "q"}).State
+		}
+		for _, failing := range []string{"a.0.0.0", "a.0.0.1", "a.0.0.2"} {
+			Expect(state()).NotTo(Equal("failed"))
+			cluster.simulate(time.Second)
+			for _, task := range []string{"a.0.0.0", "a.0.0.1", "a.0.0.2"} {
+				outcome := messenger.RunBroken
+				if task == failing {
+					outcome = messenger.RunFailed
+				}
+				cluster.agentWith(task).finishRun(task, outcome)
+			}
+			cluster.simulate(200 * time.Millisecond)
+			if failing == "a.0.0.1" {
+				cluster.takeOver()
+			}
+		}
+		cluster.simulate(time.Second)
+		Expect(state()).To(Equal("failed"))
+		Expect(cluster.countRuns()).To(BeEmpty())
+	})
 })
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -269,7 +269,7 @@
 		if !reported.Unconfirmed {
 			c.confirmRun(x)
 		}
-		if x.settling && x.needed && x.stopsSent == 0 && !reported.Unconfirmed && !reported.Unlisted {
+		if x.settling && x.needed && x.stopsSent == 0 && !c.gangIsIncomplete(x) && !reported.Unconfirmed && !reported.Unlisted {
 			x.stopping, x.settling = false, false
 		}
 		// A long-running task whose progress is 100 percent has finished its startup. It does not end, so this counts as a successful run.
@@ -297,6 +297,14 @@
 	}
 }
 
+// gangIsIncomplete reports whether the run belongs to a gang of which another run has ended or is being stopped.
+func (c *Coordinator) gangIsIncomplete(x *run) bool {
+	return x.task != nil && x.task.Step.Gang && slices.ContainsFunc(x.task.Step.Tasks, func(member *bookkeeper.Task) bool {
+		other := c.state.runs[member]
+		return other == nil || other.number != x.number || other != x && other.stopping && !other.settling
+	})
+}
+
 // updateUnlisted records whether a row without a readable task may hide the run. If that lasts, it stops the run: once the endpoint has confirmed
 // the stop and the time for stops is over, a report that lacks the run shows that the run has ended or was never started.
 func (c *Coordinator) updateUnlisted(x *run, unlisted bool, now time.Time) {
@@ -385,11 +393,27 @@
 	}
 	c.jobChanged(j)
 	c.Journal.Notify()
-	if !j.Live() {
+	switch {
+	case !j.Live():
 		c.stopRunsOf(j)
+	case t.Step.Gang && !t.IsDone():
+		c.stopGang(x)
 	}
 }
 
+// stopGang stops the other runs of the gang to which the ended run belongs. They cannot work without it, and would wait for it at their endpoints. The
+// gang starts again when all of them have ended.
+func (c *Coordinator) stopGang(ended *run) {
+	for _, member := range ended.task.Step.Tasks {
+		if x := c.state.runs[member]; x != nil && x.number == ended.number && !x.stopping {
+			x.stopping = true
+			c.runsChanged(x.vm)
+			c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("because-of", ended.taskName).Msg("stopping a run of a gang")
+		}
+	}
+	c.wakePlanner()
+}
+
 // stopRunsOf stops all runs of a job that has ended. Their results do not matter any more.
 func (c *Coordinator) stopRunsOf(j *bookkeeper.Job) {
 	for t, x := range c.state.runs {
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -75,7 +75,7 @@
 	e.elector.ConfigurationVersion = e.subscriber.Version
 	e.coordinator = &coordinator.Coordinator{
 		Agents: peerClient, Journal: e.committer, Clock: clock, WallClock: wallClock{}, Log: logger, Meter: e.meter, Address: settings.PeerAddress,
-		Leases:         coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
+		Leases: coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
 		Limits: coordinator.Limits{
 			Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout, RecordBytes: settings.MaxRecordBytes,
 		},
