--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -5,6 +5,7 @@
 
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/job"
+	"bamboohook/internal/fleet/messenger"
 	"bamboohook/resource"
 )
 
@@ -27,6 +28,8 @@
 	// tasks would use at full pace, both in thousandths.
 	longRunningProcessors int64
 	bestEffortProcessors  int64
+	// runCount is the number of runs on the VM.
+	runCount int
 	// runsByStep holds the number of runs of each step on the VM.
 	runsByStep map[*bookkeeper.Step]int
 	// victimsByProgram holds the number of victims on the VM that run each program, whether they were measured or not.
@@ -80,6 +83,7 @@
 // Reset removes all runs from the VM, so that nothing is reserved there.
 func (v *VM) Reset() {
 	v.reserved, v.longRunningProcessors, v.bestEffortProcessors, v.runsByStep, v.victimsByProgram, v.bestEffortProcessorsByProgram = resource.Amount{}, 0, 0, nil, nil, nil
+	v.runCount = 0
 	v.forgetPredictions()
 }
 
@@ -107,6 +111,7 @@
 	if v.runsByStep == nil {
 		v.runsByStep = map[*bookkeeper.Step]int{}
 	}
+	v.runCount += int(sign)
 	v.runsByStep[s] += int(sign)
 	if v.runsByStep[s] == 0 {
 		delete(v.runsByStep, s)
@@ -145,7 +150,7 @@
 
 // hasRoomFor reports whether one more task of the step may start on the VM and fits beside the reservations there.
 func (v *VM) hasRoomFor(s *bookkeeper.Step) bool {
-	if !v.Schedulable || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM {
+	if !v.Schedulable || v.runCount >= messenger.MaxRunsPerVM || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM {
 		return false
 	}
 	return v.CanHost(s.Step) && reservation(s.Step).Fits(v.Capacity.Sub(v.reserved))
@@ -156,7 +161,7 @@
 	if !v.hasRoomFor(s) {
 		return 0
 	}
-	room := len(s.Tasks)
+	room := min(len(s.Tasks), messenger.MaxRunsPerVM-v.runCount)
 	if s.MaxPerVM > 0 {
 		room = min(room, s.MaxPerVM-v.runsByStep[s])
 	}
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -280,6 +280,10 @@
 		reported.Unlisted = x.unlisted && a.unnamedRuns
 		r.Runs = append(r.Runs, reported)
 	}
+	if removed := r.LimitCheckpoints(); removed > 0 {
+		a.Meter.Count("checkpoints-not-reported")
+		a.Log.Warn().Int("checkpoints", removed).Int("runs", len(r.Runs)).Int("results", len(r.Results)).Msg("report without some checkpoints, which would make it too large")
+	}
 	return r, now
 }
 
