antagonist: the record of the interference model is limited to the largest record of the store

Cause: the record contains every pair of programs that was ever measured, and the model forgets none.

Change: the record contains the programs that were measured last, as many as fit, with a log line and a counter for the others. The model keeps the 512 long-running programs that were used last, and at most 1,024 cached estimates of each.

--- a/internal/batch/antagonist/antagonist.go
+++ b/internal/batch/antagonist/antagonist.go
@@ -21,6 +21,8 @@
 	// measurement only counts as a utilisation of at least assumedOverload.
 	saturatedUtilisation = 0.93
 	assumedOverload      = 1.2
+	// maxPrograms limits the long-running programs with estimates. Beyond it, the program that was not used for the longest time is forgotten.
+	maxPrograms = 512
 	// minShare is the share of a VM's processors below which a best-effort program counts as absent.
 	minShare = 0.01
 )
@@ -39,6 +41,8 @@
 	Model struct {
 		// updates is the number of updates of the estimates by a measured utilisation.
 		updates int
+		// uses counts the uses of the estimates of all programs.
+		uses uint64
 		// longRunningPrograms holds the estimates for each long-running program, trackers the last measurement of each long-running task, and
 		// windows the window of each VM, all by their names.
 		longRunningPrograms map[string]*longRunningProgram
@@ -119,7 +123,9 @@
 	}
 	for _, s := range leastLoadedSamples {
 		m.updates++
-		m.longRunningProgram(s.Program).updateEstimates(s.Group, averageShares, shareRanges, m.Utilisation(s.Program, m.tracker(s.Task).latencyRatio), now)
+		v := m.longRunningProgram(s.Program)
+		v.updatedAt = m.updates
+		v.updateEstimates(s.Group, averageShares, shareRanges, m.Utilisation(s.Program, m.tracker(s.Task).latencyRatio), now)
 	}
 }
 
@@ -144,12 +150,29 @@
 	m.prepare()
 	v, ok := m.longRunningPrograms[program]
 	if !ok {
+		m.forgetUnusedProgram()
 		v = newLongRunningProgram()
 		m.longRunningPrograms[program] = v
 	}
+	m.uses++
+	v.usedAt = m.uses
 	return v
 }
 
+// forgetUnusedProgram makes room for another program if there are maxPrograms.
+func (m *Model) forgetUnusedProgram() {
+	if len(m.longRunningPrograms) < maxPrograms {
+		return
+	}
+	unused := ""
+	for name, v := range m.longRunningPrograms {
+		if unused == "" || v.usedAt < m.longRunningPrograms[unused].usedAt {
+			unused = name
+		}
+	}
+	delete(m.longRunningPrograms, unused)
+}
+
 // tracker returns the tracker of the task. It adds an empty one if there is none.
 func (m *Model) tracker(task string) *taskTracker {
 	t, ok := m.trackers[task]
--- a/internal/batch/antagonist/antagonist_test.go
+++ b/internal/batch/antagonist/antagonist_test.go
@@ -58,7 +58,7 @@
 		updateRepeatedly(m, clock, 0.42+4*0.15, map[string]float64{"a": 0.15}, 2)
 		updateRepeatedly(m, clock, 0.42, map[string]float64{"b": 0.3}, 6)
 		restored := &antagonist.Model{}
-		Expect(restored.Restore(m.Encode())).To(Succeed())
+		Expect(restored.Restore(encodeAll(m))).To(Succeed())
 		for _, program := range []string{"a", "b", "c"} {
 			wantMean, wantDeviation := m.Interference("v", program)
 			mean, deviation := restored.Interference("v", program)
@@ -78,7 +78,7 @@
 			Expect(restored.Restore([]byte(encoded))).To(MatchError(ContainSubstring("out of range")))
 			Expect(restored.Limit("v")).To(Equal(fresh.Limit("v")))
 			updateRepeatedly(restored, clock, 0.9, map[string]float64{"a": 0.3, "b": 0.2}, 10)
-			Expect(restored.Encode()).NotTo(BeEmpty())
+			Expect(encodeAll(restored)).NotTo(BeEmpty())
 		})
 	}
 
--- a/internal/batch/antagonist/record.go
+++ b/internal/batch/antagonist/record.go
@@ -1,6 +1,7 @@
 package antagonist
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"math"
@@ -42,19 +43,37 @@
 // Updates returns how often a measured utilisation has updated the estimates since the model was created.
 func (m *Model) Updates() int { return m.updates }
 
-// Encode encodes the estimates, except for the own loads of the groups, for the store.
-func (m *Model) Encode() []byte {
+// Encode encodes the estimates, except for the own loads of the groups, for the store. If they take more than maxBytes, it leaves out those of the
+// programs whose last update is the longest ago, unless maxBytes is 0. It also returns how many programs it has left out.
+func (m *Model) Encode(maxBytes int) ([]byte, int) {
+	names := slices.SortedFunc(maps.Keys(m.longRunningPrograms), func(x, y string) int {
+		return cmp.Or(cmp.Compare(m.longRunningPrograms[y].updatedAt, m.longRunningPrograms[x].updatedAt), cmp.Compare(x, y))
+	})
 	var r record
-	for _, longRunning := range slices.Sorted(maps.Keys(m.longRunningPrograms)) {
+	size, leftOut := len(encode(record{Programs: []programRecord{}, Pairs: []pairRecord{}})), 0
+	for _, longRunning := range names {
 		v := m.longRunningPrograms[longRunning]
-		r.Programs = append(r.Programs, programRecord{longRunning, v.unloadedRatio, v.usualOwnLoad.Mean})
+		part := record{Programs: []programRecord{{longRunning, v.unloadedRatio, v.usualOwnLoad.Mean}}}
 		for _, quantity := range v.estimates.Names() {
 			if bestEffort, ok := strings.CutPrefix(quantity, interferencePrefix); ok {
 				estimate, _ := v.estimates.Estimate(quantity)
-				r.Pairs = append(r.Pairs, pairRecord{longRunning, bestEffort, estimate.Mean, estimate.Deviation})
+				part.Pairs = append(part.Pairs, pairRecord{longRunning, bestEffort, estimate.Mean, estimate.Deviation})
 			}
 		}
+		if partSize := len(encode(part)); maxBytes > 0 && size+partSize > maxBytes {
+			leftOut++
+		} else {
+			size += partSize
+			r.Programs, r.Pairs = append(r.Programs, part.Programs...), append(r.Pairs, part.Pairs...)
+		}
 	}
+	slices.SortFunc(r.Programs, func(x, y programRecord) int { return cmp.Compare(x.Program, y.Program) })
+	slices.SortStableFunc(r.Pairs, func(x, y pairRecord) int { return cmp.Compare(x.LongRunning, y.LongRunning) })
+	return encode(r), leftOut
+}
+
+// encode encodes the record.
+func encode(r record) []byte {
 	encoded, err := json.Marshal(r)
 	if err != nil {
 		panic("antagonist: cannot encode the interference model: " + err.Error())
--- a/internal/batch/antagonist/victim.go
+++ b/internal/batch/antagonist/victim.go
@@ -24,6 +24,8 @@
 	// update grows with the square of that number. Further best-effort programs keep the estimate priorInterference, and further groups are
 	// assumed to have the usual own load.
 	maxQuantities = 96
+	// maxCachedEstimates limits interferenceCache.
+	maxCachedEstimates = 1024
 	// The regressor names the own load of a group by ownLoadPrefix and the name of the group, and the interference of a best-effort program by
 	// interferencePrefix and the name of the program.
 	ownLoadPrefix      = "load "
@@ -52,6 +54,9 @@
 	driftAppliedAt map[string]time.Time
 	// interferenceCache holds the estimates that were requested since the last update of the estimates, by the name of the program.
 	interferenceCache map[string]regressor.Estimate
+	// usedAt is the number of the last use of the estimates, among all programs of the model. updatedAt is the number of their last update.
+	usedAt    uint64
+	updatedAt int
 }
 
 func newLongRunningProgram() *longRunningProgram {
@@ -70,6 +75,9 @@
 	if estimate, ok = v.estimates.Estimate(interferencePrefix + program); !ok {
 		estimate = priorInterference
 	}
+	if len(v.interferenceCache) >= maxCachedEstimates {
+		clear(v.interferenceCache)
+	}
 	v.interferenceCache[program] = estimate
 	return estimate
 }
--- a/internal/batch/coordinator/record.go
+++ b/internal/batch/coordinator/record.go
@@ -162,8 +162,14 @@
 		return nil
 	}
 	s.recordedUpdates, s.modelRecordDue = s.interferenceModel.Updates(), false
-	// The next record contains more than this one, so this one is not written again after an error.
-	return c.write([]storekeeper.Record{{Key: keyModel, Value: s.interferenceModel.Encode()}}, func(error) {})
+	maxBytes := max(c.Limits.RecordBytes-len(keyModel)-maxRecordFraming, 0)
+	encoded, leftOut := s.interferenceModel.Encode(maxBytes)
+	if leftOut > 0 {
+		c.Meter.Count("model-programs-not-recorded")
+		c.Log.Warn().Int("programs", leftOut).Int("limit", maxBytes).Msg("record of the interference model without some programs, which would make it too large")
+	}
+	// The next record contains newer estimates than this one, so this one is not written again after an error.
+	return c.write([]storekeeper.Record{{Key: keyModel, Value: encoded}}, func(error) {})
 }
 
 // collectJob returns a write with changed records of the job. If it does not contain all of them, the job gets another turn after the others.
