--- a/internal/batch/job/job.go
+++ b/internal/batch/job/job.go
@@ -117,6 +117,9 @@
 		if longest := max(len(s.Label), len(s.PreferredRack), len(s.Program)); longest > MaxTextBytes {
 			return eris.Errorf("job: step %d has a text of %d bytes, want at most %d", n, longest, MaxTextBytes)
 		}
+		if len(s.After) > MaxSteps {
+			return eris.Errorf("job: step %d waits for %d steps, want at most %d", n, len(s.After), MaxSteps)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= n {
 				return eris.Errorf("job: step %d waits for step %d, which is not an earlier one", n, a)
--- a/internal/batch/job/job_test.go
+++ b/internal/batch/job/job_test.go
@@ -24,6 +24,7 @@
 		"rejects a step with a negative size":             {func(j *job.Job) { j.Steps[1].Size = resource.Amount{MemoryBytes: -1} }, "step 1 has a negative figure"},
 		"rejects a dependency on a later step":            {func(j *job.Job) { j.Steps[0].After = []int{1} }, "step 0 waits for step 1"},
 		"rejects a dependency of a step on itself":        {func(j *job.Job) { j.Steps[1].After = []int{1} }, "step 1 waits for step 1"},
+		"rejects a million dependencies":                  {func(j *job.Job) { j.Steps[1].After = make([]int, 1_000_000) }, "waits for 1000000 steps"},
 		"rejects a payload that is too long":              {func(j *job.Job) { j.Payload = strings.Repeat("x", 4001) }, "payload of 4001 bytes"},
 		"rejects several occurrences without an interval": {func(j *job.Job) { j.Occurrences = 2 }, "without an interval"},
 		// Guards against an owner that ends because it cannot encode the record of an accepted job: JSON has no times after the year 9999.
