--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -104,6 +104,10 @@
 	runs               map[string]messenger.Run
 	results            []messenger.RunResult
 	nextResultSequence int64
+	// endedNumbers holds the highest number of an ended run of each task. If refusesOld is set, the endpoint refuses starts with that number or a lower
+	// one.
+	endedNumbers map[string]int
+	refusesOld   bool
 	// unreadable makes the reports list no run, and name the tasks of the runs as unreadable.
 	unreadable bool
 	// unnamed makes the reports list no run, and say that there is one whose task cannot be read. stopsFail makes the endpoint execute no stops.
@@ -209,6 +213,8 @@
 		outcome := messenger.StartOutcome{Task: s.Task, Number: s.Number, Outcome: messenger.StartDone}
 		if a.startsUnknown {
 			outcome.Outcome = messenger.StartUnknown
+		} else if a.refusesOld && s.Number <= a.endedNumbers[s.Task] {
+			outcome.Outcome, outcome.Reason = messenger.StartRefused, "old"
 		} else if a.runs[s.Task].Number != s.Number {
 			a.runs[s.Task] = messenger.Run{Task: s.Task, Number: s.Number}
 			a.starts = append(a.starts, s.Task)
@@ -243,6 +249,10 @@
 		return
 	}
 	delete(a.runs, task)
+	if a.endedNumbers == nil {
+		a.endedNumbers = map[string]int{}
+	}
+	a.endedNumbers[task] = max(a.endedNumbers[task], r.Number)
 	a.results = append(a.results, messenger.RunResult{Sequence: a.nextResultSequence, Task: task, Number: r.Number, Outcome: outcome})
 	a.nextResultSequence++
 }
--- a/internal/batch/coordinator/gang_test.go
+++ b/internal/batch/coordinator/gang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -109,4 +110,43 @@
 		Expect(state()).To(Equal("failed"))
 		Expect(cluster.countRuns()).To(BeEmpty())
 	})
+
+	// Guards against tasks that never start again, and against a gang whose members wait for each other: a new owner numbers their runs from 1 again if no
+	// record contains a number, and an endpoint on which such a run has ended refuses it as old.
+	for _, gang := range []bool{false, true} {
+		It(fmt.Sprintf("gets past the run numbers of an earlier owner that are not recorded, gang: %t", gang), func() {
+			cluster := newTestCluster(3)
+			cluster.simulate(time.Second)
+			size := resource.Amount{MilliProcessors: 4000, MemoryBytes: 10}
+			submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 3, Size: size, Gang: gang}}})
+			cluster.journal.blocked = true
+			cluster.simulate(time.Second)
+			// On two of the VMs the runs end, and the results are forgotten. The third one loses its endpoint process.
+			for name, a := range cluster.agents {
+				a.refusesOld = true
+				for task := range a.runs {
+					a.finishRun(task, messenger.RunLeaseExpired)
+				}
+				a.results = nil
+				if name == "vm-2" {
+					a.incarnation, a.endedNumbers = 101, nil
+				}
+			}
+			cluster.takeOver()
+			cluster.simulate(4 * time.Second)
+			Expect(cluster.countRuns()).To(HaveLen(3))
+			numbers := map[int]int{}
+			for _, a := range cluster.agents {
+				for _, r := range a.runs {
+					numbers[r.Number]++
+				}
+			}
+			if gang {
+				Expect(numbers).To(HaveLen(1))
+			}
+			cluster.finishAllRuns(messenger.RunDone)
+			cluster.simulate(time.Second)
+			Expect(cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: "a", Queue: "q"}).State).To(Equal("completed"))
+		})
+	}
 })
