--- a/internal/batch/bookkeeper/blocks.go
+++ b/internal/batch/bookkeeper/blocks.go
@@ -63,39 +63,46 @@
 	return tasks*j.Occurrences > tasksPerBlock
 }
 
-// CollectRecords returns the records that have changed since the last call, about maxBytes at most, and whether these are all of them. Further calls
-// return the others. If nothing has changed, it returns the record of the job as a whole. No record is larger than maxRecordBytes, unless that
-// is 0, for which it leaves out checkpoints. Records of blocks come before that of the job, and removals of blocks after it, so that the store
-// always contains the progress.
+// CollectRecords returns the records that have changed since the last call, and whether these are all of them. Further calls return the others. The
+// records take at most maxBytes together, unless it is a single one. If nothing has changed, it returns the record of the job as a whole. No record
+// is larger than maxRecordBytes, unless that is 0, for which it leaves out checkpoints. Records of blocks come before that of the job, and removals
+// of blocks after it, so that the store always contains the progress.
 func (j *Job) CollectRecords(maxBytes, maxRecordBytes int) ([]ProgressRecord, bool) {
 	var records []ProgressRecord
 	p, size := &j.recorded, 0
-	for len(p.changed) > 0 {
-		if size >= maxBytes {
-			return records, false
+	add := func(r ProgressRecord) bool {
+		size += len(r.Value) + recordOverhead
+		if len(records) > 0 && size > maxBytes {
+			return false
 		}
+		records = append(records, r)
+		return true
+	}
+	for ; len(p.changed) > 0; p.changed = p.changed[1:] {
 		id := p.changed[0]
-		p.changed = p.changed[1:]
 		if _, ok := p.isChanged[id]; !ok {
 			continue
 		}
+		if !add(j.encodeBlock(id, maxRecordBytes)) {
+			return records, false
+		}
 		delete(p.isChanged, id)
-		r := j.encodeBlock(id, maxRecordBytes)
 		p.store(id)
-		records, size = append(records, r), size+len(r.Value)+recordOverhead
 	}
 	main, dropped := j.encodeMain(maxRecordBytes)
 	if len(records)+len(p.obsolete) == 0 || !bytes.Equal(main, p.main) {
+		if !add(ProgressRecord{Value: main, DroppedCheckpoints: dropped}) {
+			return records, false
+		}
 		p.main = main
-		records, size = append(records, ProgressRecord{Value: main, DroppedCheckpoints: dropped}), size+len(main)+recordOverhead
 	}
-	for len(p.obsolete) > 0 && size < maxBytes {
-		id := p.obsolete[0]
-		p.obsolete = p.obsolete[1:]
-		delete(p.stored, id)
-		records, size = append(records, ProgressRecord{Block: id.String()}), size+recordOverhead
+	for ; len(p.obsolete) > 0; p.obsolete = p.obsolete[1:] {
+		if !add(ProgressRecord{Block: p.obsolete[0].String()}) {
+			return records, false
+		}
+		delete(p.stored, p.obsolete[0])
 	}
-	return records, len(p.obsolete) == 0
+	return records, true
 }
 
 // MarkUnrecorded makes CollectRecords return collected records again, because they were not stored.
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -142,11 +142,10 @@
 	delete(b.liveJobs, id)
 }
 
-// RemoveEnded removes the jobs that ended before the given time. It calls beforeRemoval for each of them first.
-func (b *Bookkeeper) RemoveEnded(endedBefore time.Time, beforeRemoval func(*Job)) {
+// RemoveEnded removes the jobs that ended before the given time and for which mayRemove returns true.
+func (b *Bookkeeper) RemoveEnded(endedBefore time.Time, mayRemove func(*Job) bool) {
 	for id, j := range b.jobs {
-		if !j.Live() && j.endedAt.Before(endedBefore) {
-			beforeRemoval(j)
+		if !j.Live() && j.endedAt.Before(endedBefore) && mayRemove(j) {
 			b.Remove(id)
 		}
 	}
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -130,21 +130,13 @@
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
 	s.inquirer = inquirer.Inquirer{}
-	progress, blocks, accepted := map[string][]byte{}, map[string]map[string][]byte{}, map[string]struct{}{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
 	c.restoreTombstones(records)
+	stored := groupRecords(records)
 	for _, r := range records {
-		if id, ok := strings.CutPrefix(r.Key, keyProgress); ok {
-			progress[id] = r.Value
-		}
-		if id, ok := strings.CutPrefix(r.Key, keyJob); ok {
-			accepted[id] = struct{}{}
-		}
-		if id, block, ok := parseBlockKey(r.Key); ok {
-			if blocks[id] == nil {
-				blocks[id] = map[string][]byte{}
-			}
-			blocks[id][block] = r.Value
+		if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
+			s.vms[name] = c.newVM(name)
+			s.vms[name].mayHaveRuns, s.vms[name].recordStored = true, true
 		}
 		if r.Key == keyModel {
 			if err := s.interferenceModel.Restore(r.Value); err != nil {
@@ -152,53 +144,45 @@
 				c.Log.Error().Err(err).Msg("cannot restore the interference model; starting with an empty one")
 			}
 		}
-	}
-	for id, names := range blocks {
-		if _, ok := accepted[id]; ok {
-			continue
-		}
-		for name := range names {
-			s.removedKeys = append(s.removedKeys, blockKey(id, name))
-		}
-	}
-	for _, r := range records {
-		if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
-			s.vms[name] = c.newVM(name)
-			s.vms[name].mayHaveRuns, s.vms[name].recordStored = true, true
-		}
-		id, ok := strings.CutPrefix(r.Key, keyJob)
-		if !ok {
-			continue
-		}
-		var accepted jobRecord
-		err := json.Unmarshal(r.Value, &accepted)
-		if err == nil && accepted.Job.ID != id {
-			err = eris.New("coordinator: the record contains a job with another ID than its key")
-		}
-		if err == nil {
-			err = s.jobs.Restore(accepted.Job, progress[id], blocks[id], c.WallClock.Now())
-		}
-		if err != nil {
-			// The record stays in the store, because a later version of the program may be able to read it.
-			c.Log.Error().Err(err).Str("job", id).Msg("cannot restore a job from its record")
-			continue
-		}
-		s.acceptedQueues[accepted.Job.Queue] = accepted.Queue
-		s.restoredJobs[s.jobs.Job(id)] = struct{}{}
-		if accepted.Epoch+1 == epoch {
-			s.predecessorsJobs[s.jobs.Job(id)] = struct{}{}
-		}
-		c.cancelIfTombstoned(id)
-		if j := s.jobs.Job(id); j.HasUnrecorded() {
-			c.jobChanged(j)
+		if id, ok := strings.CutPrefix(r.Key, keyJob); ok {
+			c.restoreJob(id, r.Value, stored)
 		}
 	}
-	known, live := s.jobs.CountJobs()
+	s.removedKeys = stored.keysWithoutJob()
 	c.Journal.Notify()
+	known, live := s.jobs.CountJobs()
 	c.Log.Info().Uint64("epoch", epoch).Int("jobs", known).Int("live", live).Int("vms", len(s.vms)).Msg("this entry now owns the jobs")
 	c.wakePlanner()
 }
 
+// restoreJob restores the job with the ID from its record and from those of its progress.
+func (c *Coordinator) restoreJob(id string, value []byte, stored storedProgress) {
+	s := &c.state
+	var accepted jobRecord
+	err := json.Unmarshal(value, &accepted)
+	if err == nil && accepted.Job.ID != id {
+		err = eris.New("coordinator: the record contains a job with another ID than its key")
+	}
+	if err == nil {
+		err = s.jobs.Restore(accepted.Job, stored.jobs[id], stored.blocks[id], c.WallClock.Now())
+	}
+	if err != nil {
+		// The record stays in the store, because a later version of the program may be able to read it.
+		c.Log.Error().Err(err).Str("job", id).Msg("cannot restore a job from its record")
+		return
+	}
+	j := s.jobs.Job(id)
+	s.acceptedQueues[accepted.Job.Queue] = accepted.Queue
+	s.restoredJobs[j] = struct{}{}
+	if accepted.Epoch+1 == s.epoch {
+		s.predecessorsJobs[j] = struct{}{}
+	}
+	c.cancelIfTombstoned(id)
+	if j.HasUnrecorded() {
+		c.jobChanged(j)
+	}
+}
+
 // Resign ends the ownership of the jobs, unless this entry has become the owner again in a later epoch. Pending submissions get the response
 // messenger.OutcomeNotOwner with MayHaveEffect, because their records may be on the way to the store.
 func (c *Coordinator) Resign(epoch uint64, reason string) {
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -71,8 +71,9 @@
 		MissTolerance time.Duration
 		// StopTimeout is the longest time between the confirmation of a stop by an endpoint and the end of the run.
 		StopTimeout time.Duration
-		// RecordBytes is the size of the largest record that the store accepts. 0 means no limit.
-		RecordBytes int
+		// RecordBytes is the size of the largest record that the store accepts, RequestBytes that of all records in one write. 0 means no limit.
+		RecordBytes  int
+		RequestBytes int
 	}
 
 	// Queue is the configuration of a queue to which jobs are submitted.
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -34,12 +34,6 @@
 	orderScanInterval = tickInterval
 	// loadLogInterval is the time between two log entries about the total load.
 	loadLogInterval = time.Second
-	// maxOrdersPerMessage and maxOrdersBytes limit the orders in one message. An agent carries them out at the same time, and in the message each byte
-	// may take up to six, which must not exceed the size of a frame.
-	maxOrdersPerMessage = 512
-	maxOrdersBytes      = 1 << 20
-	// orderOverhead is about how many bytes an order takes besides its texts.
-	orderOverhead = 200
 	// minPaceRisePercent and minPaceFallPercent are the smallest changes of a pace that are sent to the agent, except for changes to 0 and to
 	// the full pace, which are always sent. The limit is lower for falls, because a target may be missed until the task is throttled.
 	minPaceRisePercent = 5
@@ -130,19 +124,27 @@
 	c.makeDelayedRetries(now)
 	endedBefore := wallTime.Add(-c.Limits.Retention - retentionMargin)
 	c.removeOldTombstones(endedBefore)
-	s.jobs.RemoveEnded(endedBefore, func(j *bookkeeper.Job) {
-		s.removedKeys = append(s.removedKeys, keyJob+j.ID, keyProgress+j.ID)
-		for _, block := range j.StoredBlocks() {
-			s.removedKeys = append(s.removedKeys, blockKey(j.ID, block))
-		}
-		delete(s.restoredJobs, j)
-		delete(s.predecessorsJobs, j)
-	})
+	s.jobs.RemoveEnded(endedBefore, c.forgetJob)
 	if len(s.removedKeys) > 0 {
 		c.Journal.Notify()
 	}
 }
 
+// forgetJob removes the records of an ended job and returns true, unless changes of the job are not recorded yet.
+func (c *Coordinator) forgetJob(j *bookkeeper.Job) bool {
+	s := &c.state
+	if s.changes[j] != nil {
+		return false
+	}
+	s.removedKeys = append(s.removedKeys, keyJob+j.ID, keyProgress+j.ID)
+	for _, block := range j.StoredBlocks() {
+		s.removedKeys = append(s.removedKeys, blockKey(j.ID, block))
+	}
+	delete(s.restoredJobs, j)
+	delete(s.predecessorsJobs, j)
+	return true
+}
+
 // removeLostVM removes a VM on which all leases have certainly expired, so that its tasks can run elsewhere.
 func (c *Coordinator) removeLostVM(name string, v *vm, now time.Time) {
 	c.Log.Warn().Str("vm", name).Time("heard", v.lastReportAt).Int("runs", len(v.runs)).Msg("VM lost: all its leases have expired")
@@ -329,96 +331,6 @@
 	c.state.jobs.JobStarted(j)
 }
 
-// addOrders adds the orders that are due for the runs on the VM, those first whose last order is the longest ago. It returns false if some do not fit in
-// one message. They are due again in the next plan, before those that were added now.
-func (v *vm) addOrders(o *messenger.Orders, now time.Time) bool {
-	var due []*run
-	for _, x := range v.runs {
-		if x.dueOrder(now) != noOrder {
-			due = append(due, x)
-		}
-	}
-	slices.SortFunc(due, func(x, y *run) int {
-		return cmp.Or(x.lastOrderAt().Compare(y.lastOrderAt()), x.knownSince.Compare(y.knownSince), cmp.Compare(x.taskName, y.taskName))
-	})
-	size := 0
-	for n, x := range due {
-		if n == maxOrdersPerMessage || size > maxOrdersBytes {
-			return false
-		}
-		size += x.addOrder(o, now)
-	}
-	return true
-}
-
-// Kinds of orders.
-const (
-	noOrder = iota
-	startOrder
-	stopOrder
-	paceOrder
-)
-
-// dueOrder returns the kind of the order that is due for the run.
-func (x *run) dueOrder(now time.Time) int {
-	kind, sentAt := noOrder, time.Time{}
-	switch {
-	case x.stopping:
-		kind, sentAt = stopOrder, x.stopSentAt
-	case !x.expectedInReports:
-		kind, sentAt = startOrder, x.startSentAt
-	case x.isBestEffort() && x.paceOrderDue():
-		kind, sentAt = paceOrder, x.paceSentAt
-	}
-	if now.Sub(sentAt) <= orderRetryInterval {
-		return noOrder
-	}
-	return kind
-}
-
-// lastOrderAt returns when the last order for the run was sent, or the zero time.
-func (x *run) lastOrderAt() time.Time {
-	latest := x.startSentAt
-	for _, at := range []time.Time{x.stopSentAt, x.paceSentAt} {
-		if at.After(latest) {
-			latest = at
-		}
-	}
-	return latest
-}
-
-// addOrder adds the order that is due for the run and returns about how many bytes it takes in a message.
-func (x *run) addOrder(o *messenger.Orders, now time.Time) int {
-	size := orderOverhead + len(x.taskName)
-	switch x.dueOrder(now) {
-	case stopOrder:
-		x.stopSentAt = now
-		x.stopsSent++
-		o.Stops = append(o.Stops, messenger.Stop{Task: x.taskName, Number: x.number})
-	case startOrder:
-		x.startSentAt = now
-		x.startsSent++
-		start := messenger.Start{
-			Task: x.taskName, Number: x.number, Payload: x.task.Step.Job.Payload, Checkpoint: x.task.Checkpoint(), Ticket: x.ticketText,
-			Size: x.task.Step.Size, BestEffort: x.task.Step.BestEffort,
-		}
-		o.Starts = append(o.Starts, start)
-		size += len(start.Payload) + len(start.Checkpoint) + len(start.Ticket)
-	case paceOrder:
-		x.paceSentAt = now
-		o.Paces = append(o.Paces, messenger.Pace{Task: x.taskName, Number: x.number, Percent: x.pace})
-	}
-	return size
-}
-
-// paceOrderDue reports whether the pace differs enough from the confirmed pace to be sent to the agent.
-func (x *run) paceOrderDue() bool {
-	if x.pace == pacer.FullPercent || x.pace == 0 {
-		return x.pace != x.confirmedPace
-	}
-	return x.pace-x.confirmedPace >= minPaceRisePercent || x.confirmedPace-x.pace >= minPaceFallPercent
-}
-
 // sendOrders sends orders to the agent of the VM with the name and processes the response.
 func (c *Coordinator) sendOrders(ctx context.Context, name string, o messenger.Orders) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/batch/coordinator/record.go
+++ b/internal/batch/coordinator/record.go
@@ -15,8 +15,9 @@
 	// that a large job does not delay the others.
 	maxCollectBytes    = 512 << 10
 	maxJobCollectBytes = 128 << 10
-	// maxKeysPerWrite is the highest number of records without progress in one write.
+	// maxKeysPerWrite is the highest number of records without progress in one write, each of which takes at most keyBytes.
 	maxKeysPerWrite = 1000
+	keyBytes        = 300
 	// rejectedRetryInterval is the time until a write that the store rejects for good is tried again. Its records may have changed by then.
 	rejectedRetryInterval = 5 * time.Second
 )
@@ -31,6 +32,14 @@
 		failed bool
 	}
 
+	// storedProgress holds the records of the progress of jobs by the IDs of the jobs, and those of their blocks also by the names of the blocks.
+	// accepted holds the jobs that have a record of their acceptance.
+	storedProgress struct {
+		accepted map[string]struct{}
+		jobs     map[string][]byte
+		blocks   map[string]map[string][]byte
+	}
+
 	// delayedRetry is a function that Tick calls at a time.
 	delayedRetry struct {
 		at time.Time
@@ -70,6 +79,45 @@
 	return writes
 }
 
+// groupRecords returns the progress of jobs among the records of the store.
+func groupRecords(records []storekeeper.Record) storedProgress {
+	p := storedProgress{map[string]struct{}{}, map[string][]byte{}, map[string]map[string][]byte{}}
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key, keyJob); ok {
+			p.accepted[id] = struct{}{}
+		}
+		if id, ok := strings.CutPrefix(r.Key, keyProgress); ok {
+			p.jobs[id] = r.Value
+		}
+		if id, block, ok := parseBlockKey(r.Key); ok {
+			if p.blocks[id] == nil {
+				p.blocks[id] = map[string][]byte{}
+			}
+			p.blocks[id][block] = r.Value
+		}
+	}
+	return p
+}
+
+// keysWithoutJob returns the keys of the progress of jobs that were removed from the store.
+func (p storedProgress) keysWithoutJob() []string {
+	var keys []string
+	for id := range p.jobs {
+		if _, ok := p.accepted[id]; !ok {
+			keys = append(keys, keyProgress+id)
+		}
+	}
+	for id, blocks := range p.blocks {
+		if _, ok := p.accepted[id]; ok {
+			continue
+		}
+		for block := range blocks {
+			keys = append(keys, blockKey(id, block))
+		}
+	}
+	return keys
+}
+
 // write returns a write with the records, and none if there are no records. applied is called with the mutex and the error of the write, unless the
 // epoch has ended by then.
 func (c *Coordinator) write(records []storekeeper.Record, applied func(error)) []committer.Write {
@@ -104,6 +152,22 @@
 	}
 }
 
+// maxKeys returns the highest number of records without progress in one write.
+func (c *Coordinator) maxKeys() int {
+	if c.Limits.RequestBytes > 0 {
+		return max(min(maxKeysPerWrite, c.Limits.RequestBytes/keyBytes), 1)
+	}
+	return maxKeysPerWrite
+}
+
+// maxJobBytes returns the highest size of a write with the progress of a job.
+func (c *Coordinator) maxJobBytes() int {
+	if c.Limits.RequestBytes > 0 {
+		return min(maxJobCollectBytes, c.Limits.RequestBytes)
+	}
+	return maxJobCollectBytes
+}
+
 // collectVMs returns a write with the records of changed VMs.
 func (c *Coordinator) collectVMs() []committer.Write {
 	s := &c.state
@@ -111,7 +175,7 @@
 	var vmsWithRecord []*vm
 	var names []string
 	for name := range s.changedVMs {
-		if len(names) == maxKeysPerWrite {
+		if len(names) == c.maxKeys() {
 			break
 		}
 		delete(s.changedVMs, name)
@@ -143,7 +207,7 @@
 // collectRemovals returns a write that removes records.
 func (c *Coordinator) collectRemovals() []committer.Write {
 	s := &c.state
-	count := min(len(s.removedKeys), maxKeysPerWrite)
+	count := min(len(s.removedKeys), c.maxKeys())
 	keys := s.removedKeys[:count:count]
 	s.removedKeys = s.removedKeys[count:]
 	var records []storekeeper.Record
@@ -176,7 +240,7 @@
 func (c *Coordinator) collectJob(j *bookkeeper.Job) committer.Write {
 	s := &c.state
 	change, state, epoch := s.changes[j], j.State(), s.epoch
-	progress, complete := j.CollectRecords(maxJobCollectBytes, c.Limits.RecordBytes)
+	progress, complete := j.CollectRecords(c.maxJobBytes(), c.Limits.RecordBytes)
 	if complete {
 		delete(s.changes, j)
 	} else {
@@ -224,6 +288,10 @@
 	if err != nil {
 		c.Log.Error().Err(err).Str("job", j.ID).Int("results", len(change.results)).Msg("changes of a job are not recorded")
 		c.retryAfter(err, func() {
+			if c.state.jobs.Job(j.ID) != j {
+				c.markRecorded(change.results)
+				return
+			}
 			again := c.jobChanged(j)
 			again.results = append(again.results, change.results...)
 		})
@@ -234,10 +302,15 @@
 		c.Meter.Count("jobs-" + state)
 		c.Log.Info().Str("job", j.ID).Str("state", state).Dur("after", j.EndedAt().Sub(j.AcceptedAt)).Msg("job ended")
 	}
-	for _, a := range change.results {
+	c.markRecorded(change.results)
+	c.wakePlanner()
+}
+
+// markRecorded lets the endpoints forget the run results.
+func (*Coordinator) markRecorded(results []resultID) {
+	for _, a := range results {
 		a.vm.markRecorded(a.incarnation, a.sequence)
 	}
-	c.wakePlanner()
 }
 
 // blockKey returns the key of the record with the block of the job.
--- a/internal/batch/coordinator/record_test.go
+++ b/internal/batch/coordinator/record_test.go
@@ -173,4 +173,63 @@
 			Expect(r.Key).NotTo(ContainSubstring("/a"), fmt.Sprintf("%s", r.Value))
 		}
 	})
+
+	// Guards against writes that the store rejects because its limits are lower than usual.
+	It("fit in writes of any size that the settings allow", func() {
+		const recordBytes, requestBytes = 4096, 8192
+		cluster.coordinator.Limits.RecordBytes, cluster.coordinator.Limits.RequestBytes = recordBytes, requestBytes
+		submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 500, Size: resource.Amount{MilliProcessors: 1}, Resumable: true}}})
+		cluster.simulate(time.Second)
+		for _, a := range cluster.agents {
+			for task := range a.runs {
+				a.finishRun(task, messenger.RunLeaseExpired)
+				a.results[len(a.results)-1].Checkpoint = strings.Repeat("c", 150)
+			}
+			cluster.sendReport(a)
+		}
+		for n := range 400 {
+			cluster.journal.records = append(cluster.journal.records, storekeeper.Record{Key: fmt.Sprintf("tasks/gone/0.%d", n), Value: []byte("{}")})
+		}
+		count := 0
+		check := func() {
+			for writes := cluster.coordinator.CollectWrites(); len(writes) > 0; writes = cluster.coordinator.CollectWrites() {
+				for _, w := range writes {
+					size := 0
+					for _, r := range w.Records {
+						Expect(len(r.Key) + len(r.Value)).To(BeNumerically("<", recordBytes))
+						size += 5 + len(r.Key) + len(r.Value)
+					}
+					Expect(size).To(BeNumerically("<=", requestBytes))
+					cluster.journal.records = append(cluster.journal.records, w.Records...)
+					w.Done(nil)
+					count++
+				}
+			}
+		}
+		check()
+		Expect(count).To(BeNumerically(">", 10))
+		cluster.takeOver()
+		cluster.coordinator.Limits.RecordBytes, cluster.coordinator.Limits.RequestBytes = recordBytes, requestBytes
+		check()
+		Expect(cluster.journal.newestRecords()).NotTo(ContainElement(HaveField("Key", HavePrefix("tasks/gone/"))))
+	})
+
+	// Guards against run results that are never forgotten, and against records without a job, after an outage that is longer than the retention.
+	It("of an ended job are written before they are removed", func() {
+		submitJob(cluster, small("a"))
+		cluster.simulate(time.Second)
+		cluster.journal.blocked = true
+		cluster.finishAllRuns(messenger.RunDone)
+		cluster.simulate(time.Second)
+		cluster.clock.Advance(time.Minute + 6*time.Second)
+		cluster.simulate(time.Second)
+		cluster.journal.blocked = false
+		cluster.simulate(time.Second)
+		for _, a := range cluster.agents {
+			Expect(a.results).To(BeEmpty())
+		}
+		for _, r := range cluster.journal.newestRecords() {
+			Expect(r.Key).NotTo(ContainSubstring("/a"))
+		}
+	})
 })
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -78,6 +78,7 @@
 		Leases: coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
 		Limits: coordinator.Limits{
 			Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout, RecordBytes: settings.MaxRecordBytes,
+			RequestBytes: settings.MaxRequestBytes,
 		},
 		MayGrantLeases: e.elector.MayGrantLeases,
 		OwnedAt:        e.elector.OwnedAt,
