--- a/internal/batch/coordinator/advice_test.go
+++ b/internal/batch/coordinator/advice_test.go
@@ -41,18 +41,6 @@
 	return tickets, 3 * time.Second, nil
 }
 
-// submitJob submits a job and waits until it is accepted.
-func submitJob(c *testCluster, j job.Job) {
-	responded := make(chan struct{})
-	go func() {
-		defer GinkgoRecover()
-		defer close(responded)
-		response := c.coordinator.Submit(context.Background(), messenger.JobRequest{Job: j, Queue: "q"})
-		Expect(response.Outcome).To(Equal(messenger.OutcomeDone))
-	}()
-	Eventually(func() chan struct{} { c.journal.flush(); return responded }).Should(BeClosed())
-}
-
 var _ = Describe("An advised queue", func() {
 	newCluster := func(vms int, allowed ...string) (*testCluster, *advisor) {
 		a := &advisor{allowed: allowed, asked: map[string]int{}}
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -203,18 +203,7 @@
 			if c.modify != nil {
 				c.modify(&request)
 			}
-			responses := make(chan messenger.JobResponse, 1)
-			go func() { responses <- cluster.coordinator.Submit(ctx, request) }()
-			var response messenger.JobResponse
-			Eventually(func() bool {
-				cluster.journal.flush()
-				select {
-				case response = <-responses:
-					return true
-				default:
-					return false
-				}
-			}).Should(BeTrue())
+			response := cluster.await(func() messenger.JobResponse { return cluster.coordinator.Submit(ctx, request) })
 			Expect(response.Outcome).To(Equal(c.want))
 			if c.want == messenger.OutcomeNotExecuted {
 				Expect(response.RetryAfter).NotTo(BeZero())
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"bamboohook/internal/batch/coordinator"
 	"bamboohook/internal/batch/dispatcher"
+	"bamboohook/internal/batch/job"
 	"bamboohook/internal/fleet/committer"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/storekeeper"
@@ -362,6 +364,31 @@
 	return count
 }
 
+// await returns the response of the call, which the coordinator sends once the journal has stored its writes.
+func (c *testCluster) await(call func() messenger.JobResponse) messenger.JobResponse {
+	responses := make(chan messenger.JobResponse, 1)
+	go func() { responses <- call() }()
+	var response messenger.JobResponse
+	gomega.Eventually(func() bool {
+		c.journal.flush()
+		select {
+		case response = <-responses:
+			return true
+		default:
+			return false
+		}
+	}).Should(gomega.BeTrue())
+	return response
+}
+
+// submitJob submits a job and waits until it is accepted.
+func submitJob(c *testCluster, j job.Job) {
+	response := c.await(func() messenger.JobResponse {
+		return c.coordinator.Submit(context.Background(), messenger.JobRequest{Job: j, Queue: "q"})
+	})
+	gomega.Expect(response.Outcome).To(gomega.Equal(messenger.OutcomeDone))
+}
+
 // finishAllRuns ends all runs on all VMs with the outcome.
 func (c *testCluster) finishAllRuns(outcome string) {
 	for _, a := range c.agents {
--- a/internal/batch/coordinator/tombstone_test.go
+++ b/internal/batch/coordinator/tombstone_test.go
@@ -25,21 +25,8 @@
 		cluster = newTestCluster(2)
 		cluster.simulate(time.Second)
 	})
-	// cancel cancels the job and waits for the response.
 	cancel := func(r messenger.JobRequest) messenger.JobResponse {
-		responses := make(chan messenger.JobResponse, 1)
-		go func() { responses <- cluster.coordinator.Cancel(ctx, r) }()
-		var response messenger.JobResponse
-		Eventually(func() bool {
-			cluster.journal.flush()
-			select {
-			case response = <-responses:
-				return true
-			default:
-				return false
-			}
-		}).Should(BeTrue())
-		return response
+		return cluster.await(func() messenger.JobResponse { return cluster.coordinator.Cancel(ctx, r) })
 	}
 	expectCancelled := func() {
 		cluster.simulate(2 * time.Second)
