--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -25,6 +25,9 @@
 	// repeatedShare is the share of jobs whose submission arrives once more after it was accepted.
 	repeatedShare = 0.1
 	maxTasks      = 4
+	// Every leavingInterval-th caller leaves before the response to its submission, at most maxPatience after it, and then cancels the job.
+	leavingInterval = 10
+	maxPatience     = 150 * time.Millisecond
 )
 
 type (
@@ -37,12 +40,14 @@
 
 	// job is a job and what its caller has seen. Times are zero if they have not come.
 	job struct {
-		id           string
-		runTime      time.Duration
-		steps        []estate.Step
-		cancel       bool
-		cancelDelay  time.Duration
-		repeatDelay  time.Duration
+		id          string
+		runTime     time.Duration
+		steps       []estate.Step
+		cancel      bool
+		cancelDelay time.Duration
+		repeatDelay time.Duration
+		// patience is how long the caller waits for the response to the submission before it leaves, or 0 if it stays.
+		patience     time.Duration
 		onlyRefused  bool
 		accepted     time.Time
 		cancelSent   time.Time
@@ -80,11 +85,23 @@
 	if r.Float64() < repeatedShare {
 		j.repeatDelay = drawDuration(r, time.Second, 4*time.Second)
 	}
+	if n%leavingInterval == leavingInterval-1 {
+		j.cancel, j.cancelDelay, j.repeatDelay, j.runTime = true, 0, 0, longRunTime
+		j.patience = maxPatience * time.Duration(n/leavingInterval%5+1) / 5
+	}
 	return j
 }
 
-// run submits the job and asks for its state until it has ended or ctx is done.
+// run submits the job and asks for its state until it has ended or ctx is done. A caller that leaves only cancels the job.
 func (c *callers) run(ctx context.Context, j *job) {
+	if j.patience > 0 {
+		callCtx, leave := context.WithTimeout(ctx, j.patience)
+		defer leave()
+		j.onlyRefused = false
+		c.installation.SubmitStatus(callCtx, int(j.runTime+j.patience)%c.entries, j.id, j.runTime, j.steps...)
+		c.cancel(ctx, j)
+		return
+	}
 	for attempt := range maxAttempts {
 		status := c.installation.SubmitStatus(ctx, (attempt+int(j.runTime))%c.entries, j.id, j.runTime, j.steps...)
 		if status == http.StatusOK {
