bookkeeper: a failure is not counted twice while the progress of a job moves from one record to blocks

Read while reviewing: if an owner failed between the first block and the record of the job, the next one restored the failures from both.

Evidence: the test 'is read from a single record' now contains a failure; it failed before this change and passes with it.

--- a/internal/batch/bookkeeper/blocks_test.go
+++ b/internal/batch/bookkeeper/blocks_test.go
@@ -165,7 +165,7 @@
 	// Guards against progress that is lost because an earlier version has recorded it in one record.
 	It("is read from a single record", func() {
 		j := largeJob(1, 20, 3)
-		progress := `{"state":"running","occurrences":{"0":[{"done":"AQ==","checkpoints":{"19":"c"},"runs":{"2":7}},{}]}}`
+		progress := `{"state":"running","occurrences":{"0":[{"done":"AQ==","checkpoints":{"19":"c"},"runs":{"2":7},"failed-runs":{"3":[1]}},{}]}}`
 		Expect(b.Restore(j, []byte(progress), nil, now)).To(Succeed())
 		Expect(b.Job("a").HasUnrecorded()).To(BeTrue())
 		s := newProgressStore()
@@ -184,6 +184,7 @@
 			Expect(tasks[1].IsDone()).To(BeFalse())
 			Expect(tasks[19].Checkpoint()).To(Equal("c"))
 			Expect(tasks[2].NextRunNumber()).To(Equal(8))
+			Expect(tasks[3].Failures()).To(Equal(1))
 		}
 		Expect(string(s.main)).To(Equal(`{"state":"running"}`))
 	})
--- a/internal/batch/bookkeeper/record.go
+++ b/internal/batch/bookkeeper/record.go
@@ -257,7 +257,8 @@
 // restoreTasks sets the progress of the tasks from the store.
 func restoreTasks(tasks []*Task, r tasksProgress) {
 	for i, t := range tasks {
-		t.checkpoint, t.lastRunNumber, t.earlierFailures = r.Checkpoints[i], r.LastRunNumbers[i], r.EarlierFailures[i]
+		// The record of a block replaces what an earlier version has recorded about its tasks.
+		t.checkpoint, t.lastRunNumber, t.earlierFailures, t.failedRuns = r.Checkpoints[i], r.LastRunNumbers[i], r.EarlierFailures[i], nil
 		for n, number := range r.FailedRuns[i] {
 			failed := failedRun{number: number}
 			if vms := r.FailedRunVMs[i]; n < len(vms) {
