--- a/internal/fleet/committer/committer_test.go
+++ b/internal/fleet/committer/committer_test.go
@@ -26,8 +26,8 @@
 	errors           []error
 	attemptedBatches []storekeeper.Batch
 	release          chan struct{}
-	// refused holds keys. The store rejects batches that contain one of them for good.
-	refused map[string]bool
+	// rejected holds keys. The store rejects batches that contain one of them for good.
+	rejected map[string]bool
 }
 
 func (s *store) Append(ctx context.Context, b storekeeper.Batch) error {
@@ -39,7 +39,7 @@
 		err, s.errors = s.errors[0], s.errors[1:]
 	}
 	for _, r := range b.Records {
-		if err == nil && s.refused[r.Key] {
+		if err == nil && s.rejected[r.Key] {
 			err = eris.Wrap(storekeeper.ErrRejected, "status 400")
 		}
 	}
@@ -92,7 +92,7 @@
 		" after a refusal for a while":       {storekeeper.ErrNotAppended},
 	} {
 		It("gives up only the write that the store rejects for good"+name, func() {
-			s.release, s.refused = make(chan struct{}), map[string]bool{"odd-3": true, "odd-11": true}
+			s.release, s.rejected = make(chan struct{}), map[string]bool{"odd-3": true, "odd-11": true}
 			first := appendWrite("first", false)
 			Eventually(s.attempts).Should(HaveLen(1))
 			var odd, others []<-chan error
@@ -119,8 +119,8 @@
 			var sequences []uint64
 			stored := map[string]int{}
 			for _, b := range s.attempts() {
-				refused := slices.ContainsFunc(b.Records, func(r storekeeper.Record) bool { return s.refused[r.Key] })
-				if refused || len(sequences) > 0 && sequences[len(sequences)-1] == b.Sequence {
+				isRejected := slices.ContainsFunc(b.Records, func(r storekeeper.Record) bool { return s.rejected[r.Key] })
+				if isRejected || len(sequences) > 0 && sequences[len(sequences)-1] == b.Sequence {
 					continue
 				}
 				sequences = append(sequences, b.Sequence)
--- a/tests/platform/cancellation_test.go
+++ b/tests/platform/cancellation_test.go
@@ -17,8 +17,8 @@
 const (
 	// ownerPause is too short for another entry to become the owner.
 	ownerPause = 600 * time.Millisecond
-	// patience is how long a caller waits for the response to its submission before it leaves.
-	patience = 100 * time.Millisecond
+	// leaveAfter is the time after which a caller closes the connection of a submission without a response.
+	leaveAfter = 100 * time.Millisecond
 	// cancelTime is the time after the response to a cancellation from which no task of the job may run.
 	cancelTime = 3 * time.Second
 	// leavingCallers is the number of callers that leave while the owner is paused.
@@ -48,7 +48,7 @@
 		for n := range leavingCallers {
 			group.Go(func() {
 				id := fmt.Sprintf("%016x", 0xdef000+n)
-				callCtx, leave := context.WithTimeout(ctx, patience)
+				callCtx, leave := context.WithTimeout(ctx, leaveAfter)
 				defer leave()
 				i.SubmitStatus(callCtx, (owner+1)%entryCount, id, time.Minute, estate.Step{Tasks: 1, MilliProcessors: 100})
 				status, _, _, err := i.Call(ctx, (owner+2)%entryCount, http.MethodDelete, id, nil)
--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -25,9 +25,9 @@
 	// repeatedShare is the share of jobs whose submission arrives once more after it was accepted.
 	repeatedShare = 0.1
 	maxTasks      = 4
-	// Every leavingInterval-th caller leaves before the response to its submission, at most maxPatience after it, and then cancels the job.
+	// Every leavingInterval-th caller leaves before the response to its submission, at most maxLeaveDelay after it, and then cancels the job.
 	leavingInterval = 10
-	maxPatience     = 150 * time.Millisecond
+	maxLeaveDelay   = 150 * time.Millisecond
 )
 
 type (
@@ -46,8 +46,8 @@
 		cancel      bool
 		cancelDelay time.Duration
 		repeatDelay time.Duration
-		// patience is how long the caller waits for the response to the submission before it leaves, or 0 if it stays.
-		patience     time.Duration
+		// leaveAfter is the time after which the caller closes the connection of the submission without a response, or 0 if it stays.
+		leaveAfter   time.Duration
 		onlyRefused  bool
 		accepted     time.Time
 		cancelSent   time.Time
@@ -87,18 +87,18 @@
 	}
 	if n%leavingInterval == leavingInterval-1 {
 		j.cancel, j.cancelDelay, j.repeatDelay, j.runTime = true, 0, 0, longRunTime
-		j.patience = maxPatience * time.Duration(n/leavingInterval%5+1) / 5
+		j.leaveAfter = maxLeaveDelay * time.Duration(n/leavingInterval%5+1) / 5
 	}
 	return j
 }
 
 // run submits the job and asks for its state until it has ended or ctx is done. A caller that leaves only cancels the job.
 func (c *callers) run(ctx context.Context, j *job) {
-	if j.patience > 0 {
-		callCtx, leave := context.WithTimeout(ctx, j.patience)
+	if j.leaveAfter > 0 {
+		callCtx, leave := context.WithTimeout(ctx, j.leaveAfter)
 		defer leave()
 		j.onlyRefused = false
-		c.installation.SubmitStatus(callCtx, int(j.runTime+j.patience)%c.entries, j.id, j.runTime, j.steps...)
+		c.installation.SubmitStatus(callCtx, int(j.runTime+j.leaveAfter)%c.entries, j.id, j.runTime, j.steps...)
 		c.cancel(ctx, j)
 		return
 	}
