coordinator, dispatcher: the log tells why the task that has waited longest does not start

The log showed placements and stops, but not what kept a task from starting in between, so it could not tell whether the bound on the predicted interference, a missed target, missing processors or the rule for an idle fleet was the limit that held on all VMs.

Once a second, the load line is followed by one for the task that has waited longest: for each reason, the number of VMs on which it must not start. A placement also logs the predicted share of the full pace and whether a target is missed on the VM.

--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -87,7 +87,7 @@
 	}
 	if now.Sub(s.loadLoggedAt) >= loadLogInterval {
 		s.loadLoggedAt = now
-		c.logLoad()
+		c.logLoad(now)
 	}
 	if s.interferenceModel.Updates() != s.recordedUpdates && now.Sub(s.modelRecordRequestedAt) >= modelRecordInterval {
 		s.modelRecordRequestedAt, s.modelRecordDue = now, true
@@ -315,7 +315,7 @@
 	c.state.runs[t] = x
 	c.Log.Info().Str("task", x.taskName).Int("run", number).Str("vm", v.Name).Dur("report-age", now.Sub(v.lastReportAt)).
 		Dur("waited", c.WallClock.Now().Sub(t.WaitingSince())).Int64("serving", v.LongRunningProcessors()).Int64("filling", v.BestEffortProcessors()).
-		Int64("reserved", v.Reserved().MilliProcessors).Msg("run placed on a VM")
+		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("strained", v.TargetMissed).Msg("run placed on a VM")
 }
 
 // confirmRun records that a run certainly exists or has existed on its VM.
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -38,6 +38,9 @@
 	Placement struct {
 		Task *bookkeeper.Task
 		VM   *VM
+		// PaceShare is the predicted share of its full pace at which a best-effort task can work on the VM without causing a missed target. It is 1
+		// for other tasks.
+		PaceShare float64
 	}
 
 	// InterferenceModel estimates how much a best-effort program raises the utilisation of a long-running program on the same VM.
@@ -94,6 +97,26 @@
 	}
 )
 
+// Reasons why a task must not start on a VM now.
+const (
+	// RefusedUnschedulable means that no task may start on the VM.
+	RefusedUnschedulable = "unschedulable"
+	// RefusedHeld means that the VM is held for a starving step.
+	RefusedHeld = "held"
+	// RefusedRoom means that the task does not fit beside the reservations, or that the VM has enough runs of its step.
+	RefusedRoom = "no-room"
+	// RefusedExcluded means that Dispatcher.Excludes excludes the VM.
+	RefusedExcluded = "excluded"
+	// RefusedProcessors means that too few processors are spare for a best-effort task.
+	RefusedProcessors = "processors"
+	// RefusedTargetMissed and RefusedInterference mean that a best-effort task would disturb a victim on the VM which misses its target now, or which
+	// would then miss it.
+	RefusedTargetMissed = "target-missed"
+	RefusedInterference = "interference"
+	// RefusedTrial means that the interference of a best-effort task is unknown, and that the limits for trials are reached.
+	RefusedTrial = "trial"
+)
+
 // Classes of steps by the value that the result of their job has if the job completes as estimated, the highest value first.
 const (
 	// classOnTime means that the job meets its objective, or that the step is long-running. Long-running steps have no objective.
@@ -138,8 +161,7 @@
 				unplacedWaitingSince = t.WaitingSince()
 				continue
 			}
-			d.add(t, v)
-			placements = append(placements, Placement{t, v})
+			placements = append(placements, d.place(t, v))
 		}
 	}
 	return placements
@@ -247,8 +269,7 @@
 			if v == nil {
 				break
 			}
-			d.add(t, v)
-			placed = append(placed, Placement{t, v})
+			placed = append(placed, d.place(t, v))
 		}
 		if len(placed) == len(s.Tasks) {
 			return placed
@@ -290,16 +311,15 @@
 	var best *VM
 	var bestScore score
 	for _, v := range vms {
-		if v.Service != service || rack != "" && v.Rack != rack || d.isHeldAgainst(t.Step, v) || !v.hasRoomFor(t.Step) {
+		if v.Service != service || rack != "" && v.Rack != rack {
 			continue
 		}
-		if d.Excludes != nil && d.Excludes(t, v) {
+		vmScore, refusal := d.mayStart(now, t, v)
+		if refusal == RefusedExcluded {
 			// Other steps may not be excluded there.
 			mayCompare = false
-			continue
 		}
-		vmScore, ok := d.scoreVM(now, t, v)
-		if ok && (best == nil || vmScore.better(bestScore)) {
+		if refusal == "" && (best == nil || vmScore.better(bestScore)) {
 			best, bestScore = v, vmScore
 		}
 	}
@@ -309,10 +329,45 @@
 	return best
 }
 
-// add adds a run of the task to the VM.
-func (d *Dispatcher) add(t *bookkeeper.Task, v *VM) {
+// mayStart returns the score of the VM for the task. If the task must not start there now, it returns the reason, which is empty otherwise.
+func (d *Dispatcher) mayStart(now time.Time, t *bookkeeper.Task, v *VM) (score, string) {
+	switch {
+	case !v.Schedulable:
+		return score{}, RefusedUnschedulable
+	case d.isHeldAgainst(t.Step, v):
+		return score{}, RefusedHeld
+	case !v.hasRoomFor(t.Step):
+		return score{}, RefusedRoom
+	case d.Excludes != nil && d.Excludes(t, v):
+		return score{}, RefusedExcluded
+	}
+	return d.scoreVM(now, t, v)
+}
+
+// Refusals returns the reasons why the task must not start now on VMs of the service, each with the number of those VMs. It holds for the state in
+// which the last plan has left the VMs.
+func (d *Dispatcher) Refusals(now time.Time, t *bookkeeper.Task, service string, vms []*VM) map[string]int {
+	counts := map[string]int{}
+	for _, v := range vms {
+		if v.Service != service {
+			continue
+		}
+		if _, refusal := d.mayStart(now, t, v); refusal != "" {
+			counts[refusal]++
+		}
+	}
+	return counts
+}
+
+// place adds a run of the task to the VM.
+func (d *Dispatcher) place(t *bookkeeper.Task, v *VM) Placement {
+	p := Placement{Task: t, VM: v, PaceShare: 1}
+	if t.Step.BestEffort {
+		p.PaceShare = d.impactInPlan(t.Step, v).paceShare
+	}
 	v.Add(t)
 	d.idleKnown = false
+	return p
 }
 
 // shapeOf returns the shape of the tasks of the step, and false if it cannot be compared with that of other steps.
--- a/internal/batch/dispatcher/dispatcher_test.go
+++ b/internal/batch/dispatcher/dispatcher_test.go
@@ -304,6 +304,20 @@
 			Expect(plan()).To(HaveLen(4))
 		})
 
+		// Guards against a waiting task of which the log does not show what keeps it from starting.
+		It("tells on how many VMs a task must not start, and why", func() {
+			d.Model = model{{"x", "bad"}: 4}
+			acceptLongRunning("a", "x", 12)
+			addMeasuredVictims(plan(), 0.68)
+			vms[1].TargetMissed, vms[3].Schedulable = true, false
+			vms[2].SetProcessorsUnusedByThrottled(-20_000)
+			acceptBestEffort("b", "bad", 1)
+			Expect(plan()).To(BeEmpty())
+			Expect(d.Refusals(now, b.Task(job.Task{Job: "b"}), "s", vms)).To(Equal(map[string]int{
+				dispatcher.RefusedInterference: 1, dispatcher.RefusedTargetMissed: 1, dispatcher.RefusedProcessors: 1, dispatcher.RefusedUnschedulable: 1,
+			}))
+		})
+
 		// Load pattern: many tasks that each interfere a little. A single one causes no missed target, but all of them on one VM do.
 		It("adds up the interference of all best-effort tasks on a VM", func() {
 			d.Model = model{{"x", "some"}: 0.6}
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -87,8 +87,8 @@
 	return s.preference > other.preference
 }
 
-// scoreVM returns the score of the VM for the task, and false if the task must not start there now.
-func (d *Dispatcher) scoreVM(now time.Time, t *bookkeeper.Task, v *VM) (score, bool) {
+// scoreVM returns the score of the VM for the task. If the task must not start there now, it returns the reason, which is empty otherwise.
+func (d *Dispatcher) scoreVM(now time.Time, t *bookkeeper.Task, v *VM) (score, string) {
 	s := t.Step
 	vmScore := score{onPreferredRack: s.PreferredRack == "" || s.PreferredRack == v.Rack}
 	capacity := float64(max(v.Capacity.MilliProcessors, 1))
@@ -97,14 +97,17 @@
 		waited := now.Sub(t.WaitingSince())
 		spare, size := d.spareProcessors(v), float64(s.Size.MilliProcessors)
 		if spare < size*(1-maxMissingProcessorShare) {
-			return score{}, false
+			return score{}, RefusedProcessors
 		}
 		predicted := d.impactInPlan(s, v)
-		if predicted.maxExcess > 0 && (v.TargetMissed || !d.mayStartThrottled(predicted, waited)) {
-			return score{}, false
+		if predicted.maxExcess > 0 && v.TargetMissed {
+			return score{}, RefusedTargetMissed
+		}
+		if predicted.maxExcess > 0 && !d.mayStartThrottled(predicted, waited) {
+			return score{}, RefusedInterference
 		}
 		if predicted.interferenceUnknown && waited < trialWait && !d.mayStartTrial(s, v) {
-			return score{}, false
+			return score{}, RefusedTrial
 		}
 		vmScore.interferenceClass, vmScore.preference = interferenceClass(predicted.maxRise), (spare-size)/capacity
 		if predicted.maxExcess > 0 {
@@ -123,7 +126,7 @@
 	default:
 		vmScore.preference = d.spareProcessors(v) / capacity
 	}
-	return vmScore, true
+	return vmScore, ""
 }
 
 // mayStartThrottled reports whether a task that has waited for the given time may start on a VM where it would have to be throttled to avoid
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -51,8 +51,7 @@
 func (d *Dispatcher) placeStarving(now time.Time, s *bookkeeper.Step, service string, vms []*VM) []Placement {
 	t := firstWaiting(s)
 	if v := d.bestVM(now, t, service, vms, ""); v != nil {
-		d.add(t, v)
-		return []Placement{{t, v}}
+		return []Placement{d.place(t, v)}
 	}
 	d.heldFor = s
 	most := 0.0
