--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -28,6 +28,18 @@
 // HasStarted reports whether a run of one of the job's tasks has started or was found.
 func (j *Job) HasStarted() bool { return j.started }
 
+// HasRun reports whether a task of the job has a run, or may have one.
+func (j *Job) HasRun() bool {
+	for _, o := range j.openedOccurrences {
+		for _, t := range o.tasks {
+			if t.running && !t.done {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // EndedAt returns when the job ended, or the zero time if it is live.
 func (j *Job) EndedAt() time.Time { return j.endedAt }
 
@@ -42,7 +54,7 @@
 // IsDone reports whether a run has completed the task. In a gang, a run of any of its tasks completes all of them.
 func (t *Task) IsDone() bool { return t.done }
 
-// WaitingSince returns when the task last began to wait for its start.
+// WaitingSince returns when the task last began to wait for its start, less the time that it had lost before.
 func (t *Task) WaitingSince() time.Time { return t.waitingSince }
 
 // Failures returns how many runs of the task have failed. Runs that were stopped or were lost with their VM do not count as failed.
--- a/internal/batch/bookkeeper/blocks_test.go
+++ b/internal/batch/bookkeeper/blocks_test.go
@@ -203,7 +203,7 @@
 				b.RunStarted(t, t.NextRunNumber())
 				switch random.IntN(4) {
 				case 0:
-					b.WaitAgain(t, now)
+					b.WaitAgain(t, now, 0)
 				case 1:
 					b.SetCheckpoint(t, fmt.Sprint(random.Int()))
 				case 2:
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -95,7 +95,7 @@
 		running bool
 		// notDoneAtTakeover reports whether the task certainly was not done for any earlier owner.
 		notDoneAtTakeover bool
-		// waitingSince is when the task last began to wait for its start.
+		// waitingSince is when the task last began to wait for its start, less the time that it had lost before.
 		waitingSince time.Time
 	}
 
@@ -350,13 +350,14 @@
 }
 
 // WaitAgain makes the task wait for its next start after one of its runs has ended without completing it. If the step is not ready yet, the
-// task waits from when the step becomes ready.
-func (b *Bookkeeper) WaitAgain(t *Task, now time.Time) {
+// task waits from when the step becomes ready. lost is the time before now in which the task has waited or could not work. It counts as waited, so
+// that runs without progress do not make the task wait from the beginning.
+func (b *Bookkeeper) WaitAgain(t *Task, now time.Time, lost time.Duration) {
 	t.running = false
 	if t.done || !t.Step.Job.Live() || !t.Step.ready || t.waiting {
 		return
 	}
-	t.waiting, t.waitingSince = true, now
+	t.waiting, t.waitingSince = true, now.Add(-lost)
 }
 
 // SetCheckpoint records the checkpoint from which the next run of the task resumes. The tasks of a gang share one checkpoint. SetCheckpoint
--- a/internal/batch/bookkeeper/bookkeeper_test.go
+++ b/internal/batch/bookkeeper/bookkeeper_test.go
@@ -200,14 +200,14 @@
 		b.TaskDone(task(0, 0), now)
 		b.TaskDone(task(0, 1), now)
 		Expect(waitingTasks()).To(BeEmpty())
-		b.WaitAgain(task(1, 0), now)
+		b.WaitAgain(task(1, 0), now, 0)
 		Expect(waitingTasks()).To(Equal([]string{"a.0.1.0"}))
 	})
 
 	It("does not make a task wait if its run ends before its step is ready", func() {
 		accept(twoStepJob("a"))
 		b.RunStarted(task(1, 0), 1)
-		b.WaitAgain(task(1, 0), now)
+		b.WaitAgain(task(1, 0), now, 0)
 		Expect(waitingTasks()).To(Equal([]string{"a.0.0.0", "a.0.0.1"}))
 		Expect(task(1, 0).IsWaiting()).To(BeFalse())
 	})
--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -35,7 +35,7 @@
 	c.state.dispatcher.Model = &c.state.interferenceModel
 	victims, programs := c.updateModel(v, now)
 	missedBefore := v.TargetMissed
-	paces := v.pacer.Paces(victims, c.bestEffortTasks(v, programs), now)
+	paces := v.pacer.Paces(victims, c.bestEffortTasks(v, programs, now), now)
 	v.TargetMissed = v.pacer.TargetMissed()
 	if v.TargetMissed != missedBefore {
 		c.Log.Info().Str("vm", v.Name).Bool("strained", v.TargetMissed).Float64("worst", v.worstLatencyRatio()).Interface("shares", v.bestEffortShares()).
@@ -48,6 +48,9 @@
 		if !ok {
 			continue
 		}
+		if y.overdue && v.pacer.Working(now) {
+			y.pace = pace
+		}
 		y.approachPace(pace, now)
 		throttledProcessors += y.task.Step.Size.MilliProcessors * int64(pacer.FullPercent-y.pace) / pacer.FullPercent
 		if y.shouldMove(now) && (slowest == nil || y.pace < slowest.pace) {
@@ -94,14 +97,15 @@
 
 // bestEffortTasks returns the best-effort tasks on the VM, each with the utilisation that it adds to a task of each of the long-running
 // programs.
-func (c *Coordinator) bestEffortTasks(v *vm, victimPrograms []string) []pacer.BestEffortTask {
+func (c *Coordinator) bestEffortTasks(v *vm, victimPrograms []string, now time.Time) []pacer.BestEffortTask {
 	var tasks []pacer.BestEffortTask
 	for _, y := range v.runs {
 		if !y.isBestEffort() {
 			continue
 		}
 		share := float64(y.task.Step.Size.MilliProcessors) / float64(max(v.Capacity.MilliProcessors, 1))
-		f := pacer.BestEffortTask{Name: y.taskName, AddedUtilisation: make([]float64, len(victimPrograms))}
+		y.updateLostTime(now)
+		f := pacer.BestEffortTask{Name: y.taskName, AddedUtilisation: make([]float64, len(victimPrograms)), Overdue: y.overdue}
 		for n, program := range victimPrograms {
 			interference, _ := c.state.interferenceModel.Interference(program, y.task.Step.Program)
 			f.AddedUtilisation[n] = interference * share
@@ -147,17 +151,34 @@
 	}
 }
 
+// updateLostTime adds the time since the last call to the time that the task has lost, as far as the pace kept the run from working. The task is overdue
+// once it has lost as much as it may lose by waiting. Without this, low paces and stops could keep it from completing forever.
+func (x *run) updateLostTime(now time.Time) {
+	x.lostTime += now.Sub(x.lostTimeAt) * time.Duration(pacer.FullPercent-x.pace) / pacer.FullPercent
+	x.lostTimeAt = now
+	x.overdue = x.overdue || x.lostTime >= dispatcher.MaxInterferenceWait
+}
+
+// timeToMakeUp returns the time that counts as waited when the task waits again because the run has ended without a result.
+func (x *run) timeToMakeUp(now time.Time) time.Duration {
+	if !x.isBestEffort() {
+		return 0
+	}
+	x.updateLostTime(now)
+	return x.lostTime
+}
+
 // isStuck reports whether the pace of the run has been below stuckBelowPercent for stuckTime, and the run can be stopped without losing much
-// work. Such a run only occupies memory.
+// work. Such a run only occupies memory. An overdue run is not stuck, because it gets work periods.
 func (x *run) isStuck(now time.Time) bool {
-	return x.pace < stuckBelowPercent && !x.paceLowSince.IsZero() && now.Sub(x.paceLowSince) > stuckTime && x.needed && !x.stopping && x.expectedInReports &&
+	return !x.overdue && x.pace < stuckBelowPercent && !x.paceLowSince.IsZero() && now.Sub(x.paceLowSince) > stuckTime && x.needed && !x.stopping && x.expectedInReports &&
 		(x.task.Step.Resumable || x.lastReport.Progress < maxLostProgressPercent)
 }
 
 // shouldMove reports whether the task of the run should resume on another VM: the run is needed, its pace is low, it is old enough to have been
-// measured, and its task has checkpoints.
+// measured, and its task has checkpoints. An overdue task stays, because moving without a bound would keep it from completing.
 func (x *run) shouldMove(now time.Time) bool {
-	return x.pace < moveBelowPercent && x.needed && !x.stopping && x.expectedInReports && x.task.Step.Resumable && now.Sub(x.knownSince) > minTimeOnVM
+	return !x.overdue && x.pace < moveBelowPercent && x.needed && !x.stopping && x.expectedInReports && x.task.Step.Resumable && now.Sub(x.knownSince) > minTimeOnVM
 }
 
 // worstLatencyRatio returns the highest ratio of a task's latency to its target on the VM, or 0 if none is known.
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -300,11 +300,12 @@
 // addRun adds a run with the number for a placement.
 func (c *Coordinator) addRun(p dispatcher.Placement, v *vm, number int, now time.Time) {
 	t := p.Task
+	waited := c.WallClock.Now().Sub(t.WaitingSince())
 	c.Meter.Count("starts")
 	c.state.jobs.RunOrdered(t, number)
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
-		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent,
+		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, lostTime: waited, lostTimeAt: now, overdue: p.Overdue,
 	}
 	if c.queueOf(t.Step.Job).Advised {
 		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
@@ -314,8 +315,8 @@
 	v.breaker.Started(now)
 	c.state.runs[t] = x
 	c.Log.Info().Str("task", x.taskName).Int("run", number).Str("vm", v.Name).Dur("report-age", now.Sub(v.lastReportAt)).
-		Dur("waited", c.WallClock.Now().Sub(t.WaitingSince())).Int64("serving", v.LongRunningProcessors()).Int64("filling", v.BestEffortProcessors()).
-		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("strained", v.TargetMissed).Msg("run placed on a VM")
+		Dur("waited", waited).Int64("serving", v.LongRunningProcessors()).Int64("filling", v.BestEffortProcessors()).
+		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("overdue", p.Overdue).Bool("strained", v.TargetMissed).Msg("run placed on a VM")
 }
 
 // confirmRun records that a run certainly exists or has existed on its VM.
--- /dev/null
+++ b/internal/batch/coordinator/progress_test.go
@@ -0,0 +1,244 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bamboohook/internal/batch/dispatcher"
+	"bamboohook/internal/batch/job"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/resource"
+)
+
+const (
+	worldStep         = 100 * time.Millisecond
+	worldTolerance    = 4 * time.Second
+	worldTarget       = 45 * time.Millisecond
+	unloadedLatency   = 10 * time.Millisecond
+	worldTaskWork     = 2200 * time.Millisecond
+	worldProcessors   = 4000
+	fillerProcessors  = 700
+	fillersPerVM      = 4
+	worldInterference = 3.0
+	// worldReaction is the longest time from a measurement to the effect of a pace: the time between two reports, and until a pace is in force.
+	worldReaction = 300 * time.Millisecond
+)
+
+// interferenceWorld simulates VMs with victims whose own load moves, and best-effort tasks that interfere with all of them.
+type interferenceWorld struct {
+	cluster *testCluster
+	// ownLoad returns the own load of the victims on the VM. worked is the time since a best-effort task last worked there.
+	ownLoad   func(now time.Duration, vm int, worked time.Duration) float64
+	now       time.Duration
+	lastWork  map[string]time.Duration
+	latencies map[string][]float64
+	done      map[string]time.Duration
+	numbers   map[string]int
+	doneAt    map[string]time.Duration
+	// missedFor is how long each VM has been without a break in a state in which its victims miss their target only because of best-effort tasks
+	// that work, longestMissed the longest such time, and missedTime the sum of all.
+	missedFor     map[string]time.Duration
+	longestMissed time.Duration
+	missedTime    time.Duration
+	// idleFor is how long each job has had no run, longestIdle the longest such time.
+	idleFor     map[string]time.Duration
+	longestIdle time.Duration
+}
+
+func newInterferenceWorld(vms int, ownLoad func(time.Duration, int, time.Duration) float64) *interferenceWorld {
+	w := &interferenceWorld{
+		cluster: newTestCluster(vms), ownLoad: ownLoad, lastWork: map[string]time.Duration{}, latencies: map[string][]float64{}, done: map[string]time.Duration{},
+		numbers: map[string]int{}, doneAt: map[string]time.Duration{}, missedFor: map[string]time.Duration{}, idleFor: map[string]time.Duration{},
+	}
+	for name := range w.cluster.agents {
+		w.lastWork[name] = -time.Hour
+	}
+	return w
+}
+
+// step lets worldStep pass. Agents report in each second step.
+func (w *interferenceWorld) step() {
+	c := w.cluster
+	for n := range len(c.agents) {
+		w.stepVM(c.agents[fmt.Sprint("vm-", n)], n)
+	}
+	c.clock.Advance(worldStep)
+	w.now += worldStep
+	if w.now%(2*worldStep) == 0 {
+		for n := range len(c.agents) {
+			c.sendReport(c.agents[fmt.Sprint("vm-", n)])
+		}
+	}
+	c.coordinator.Tick()
+	c.coordinator.PlanOnce(context.Background())
+	c.journal.flush()
+}
+
+// stepVM lets the runs on the VM work and measures the latency of its victims.
+func (w *interferenceWorld) stepVM(a *agent, n int) {
+	wanted := 0.0
+	paces := map[string]float64{}
+	for task, r := range a.runs {
+		if task[0] == 's' {
+			continue
+		}
+		if w.numbers[task] != r.Number {
+			// A new run of a task without checkpoints works at full pace from the beginning.
+			w.numbers[task], w.done[task] = r.Number, 0
+			delete(a.paces, task)
+		}
+		percent, ok := a.paces[task]
+		if !ok {
+			percent = 100
+		}
+		paces[task] = float64(percent) / 100
+		wanted += paces[task] * fillerProcessors
+	}
+	victims := 0
+	for task := range a.runs {
+		if task[0] == 's' {
+			victims++
+		}
+	}
+	granted := min(1, (worldProcessors-float64(victims)*300)/max(wanted, 1))
+	load := w.ownLoad(w.now, n, w.now-w.lastWork[a.name])
+	utilisation := load + worldInterference*wanted*granted/worldProcessors
+	if wanted > 0 {
+		w.lastWork[a.name] = w.now
+	}
+	latency := unloadedLatency.Seconds() / (1 - min(utilisation, 0.98))
+	limit := 1 - float64(unloadedLatency)/float64(worldTarget)
+	if victims > 0 && utilisation > limit && load < limit && wanted > 0 {
+		w.missedFor[a.name] += worldStep
+		w.missedTime += worldStep
+		w.longestMissed = max(w.longestMissed, w.missedFor[a.name])
+	} else {
+		w.missedFor[a.name] = 0
+	}
+	recent := append(w.latencies[a.name], latency)
+	w.latencies[a.name] = recent[max(len(recent)-5, 0):]
+	measured := 0.0
+	for _, l := range w.latencies[a.name] {
+		measured += l / float64(len(w.latencies[a.name]))
+	}
+	for task, r := range a.runs {
+		if task[0] == 's' {
+			r.Progress, r.LatencyOrUsage = 100, int(math.Round(measured*1000))
+			a.runs[task] = r
+			continue
+		}
+		w.done[task] += time.Duration(paces[task] * granted * float64(worldStep))
+		r.Progress, r.LatencyOrUsage = int(100*w.done[task]/worldTaskWork), int(paces[task]*granted*fillerProcessors)
+		a.runs[task] = r
+		if w.done[task] >= worldTaskWork {
+			a.finishRun(task, messenger.RunDone)
+			w.doneAt[task] = w.now
+		}
+	}
+}
+
+// runUntilDone lets time pass until the tasks of the jobs are done, or for the given time. It returns whether they are done.
+func (w *interferenceWorld) runUntilDone(jobs, tasksPerJob int, limit time.Duration) bool {
+	for begin := w.now; w.now-begin < limit; {
+		w.step()
+		for n := range jobs {
+			name, waiting, running := fmt.Sprint("f", n), false, false
+			for i := range tasksPerJob {
+				task := fmt.Sprintf("%s.0.0.%d", name, i)
+				_, isDone := w.doneAt[task]
+				waiting = waiting || !isDone
+				for _, a := range w.cluster.agents {
+					_, runs := a.runs[task]
+					running = running || runs
+				}
+			}
+			if !waiting || running {
+				w.idleFor[name] = 0
+				continue
+			}
+			w.idleFor[name] += worldStep
+			w.longestIdle = max(w.longestIdle, w.idleFor[name])
+		}
+		if len(w.doneAt) == jobs*tasksPerJob {
+			return true
+		}
+	}
+	return false
+}
+
+var _ = Describe("Progress beside victims at their limits on all VMs", func() {
+	const (
+		vms         = 4
+		tasksPerJob = 2
+	)
+	// A work period lasts workPeriod, of which worldReaction may pass before it has an effect, and is followed by three times as long a rest. So an overdue
+	// task is done after a number of periods that follows from its work. Before it is overdue, it may lose MaxInterferenceWait.
+	workPeriod := time.Duration(0.4 * float64(worldTolerance))
+	cycle := 4*workPeriod + 2*worldReaction
+	taskBound := cycle * (2 + worldTaskWork/(workPeriod-worldReaction))
+	// idleBound is the wait after which one task of a job starts anywhere while most processors are not reserved, and the time to start it if there is
+	// room for a task of each job.
+	idleBound := 2*time.Second + worldReaction
+
+	// Guards against accepted tasks that never complete: at low paces they were stopped as stuck and waited anew, as often as that happened.
+	for name, ownLoad := range map[string]func(time.Duration, int, time.Duration) float64{
+		"that are near their limits":                     func(time.Duration, int, time.Duration) float64 { return 0.765 },
+		"that are beyond their limits by their own load": func(time.Duration, int, time.Duration) float64 { return 0.85 },
+		"whose own load rises as soon as a task works and falls when none does": func(_ time.Duration, _ int, worked time.Duration) float64 {
+			if worked < time.Second {
+				return 0.77
+			}
+			return 0.5
+		},
+		"whose own load swings": func(now time.Duration, vm int, _ time.Duration) float64 {
+			return 0.62 + 0.3*math.Sin(2*math.Pi*now.Seconds()/14+float64(vm))
+		},
+		"whose own load jumps each second": func(now time.Duration, vm int, _ time.Duration) float64 {
+			return 0.5 + 0.05*float64((int(now.Seconds())*7+vm*3)%8)
+		},
+	} {
+		for _, c := range []struct {
+			victims, jobs int
+			text          string
+		}{
+			{6, 6, "less than half of the processors reserved"},
+			{9, 6, "more than half of the processors reserved"},
+			{6, 14, "less than half reserved and more tasks than fit"},
+			{9, 14, "more than half reserved and more tasks than fit"},
+		} {
+			It(fmt.Sprintf("is made by each task within the bound beside victims %s, with %s", name, c.text), func() {
+				jobs := c.jobs
+				w := newInterferenceWorld(vms, ownLoad)
+				victimStep := job.Step{
+					TaskCount: 3 * vms, MaxPerVM: 3, Size: resource.Amount{MilliProcessors: int64(100 * c.victims), MemoryBytes: 100},
+					LongRunning: true, Program: "x", TailTarget: worldTarget,
+				}
+				submitJob(w.cluster, job.Job{ID: "s", Occurrences: 1, Steps: []job.Step{victimStep}})
+				for range 100 {
+					w.step()
+				}
+				accepted := w.now
+				for n := range jobs {
+					submitJob(w.cluster, job.Job{ID: fmt.Sprint("f", n), Occurrences: 1, Steps: []job.Step{{
+						TaskCount: tasksPerJob, Size: resource.Amount{MilliProcessors: fillerProcessors, MemoryBytes: 100}, BestEffort: true, Program: fmt.Sprint("p", n%3),
+						Estimate: worldTaskWork,
+					}}})
+				}
+				rounds := time.Duration((jobs*tasksPerJob + vms*fillersPerVM - 1) / (vms * fillersPerVM))
+				bound := dispatcher.MaxInterferenceWait + rounds*taskBound
+				Expect(w.runUntilDone(jobs, tasksPerJob, bound)).To(BeTrue(), "%d of %d tasks are done after %s", len(w.doneAt), jobs*tasksPerJob, bound)
+				elapsed := w.now - accepted
+				GinkgoWriter.Printf("all done after %s of %s, longest missed %s, missed %s, job idle %s\n", elapsed, bound, w.longestMissed, w.missedTime, w.longestIdle)
+				Expect(w.longestMissed).To(BeNumerically("<", worldTolerance), "targets must not be missed for so long because of best-effort tasks")
+				if c.victims == 6 && jobs <= vms*fillersPerVM {
+					Expect(w.longestIdle).To(BeNumerically("<=", idleBound))
+				}
+			})
+		}
+	}
+})
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -323,7 +323,7 @@
 
 // adoptRun adds a reported run that this owner did not start, and stops the run if its task does not need it.
 func (c *Coordinator) adoptRun(v *vm, reported messenger.Run, now time.Time) *run {
-	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: 100}
+	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: 100, lostTimeAt: now}
 	if id, ok := job.ParseTask(reported.Task); ok {
 		x.task = c.state.jobs.Task(id)
 	}
@@ -386,10 +386,10 @@
 	case effectFailure:
 		c.state.jobs.SetCheckpoint(t, checkpoint)
 		c.state.jobs.RunFailed(t, x.number, v.Name, c.queueOf(j).Attempts, c.WallClock.Now())
-		c.state.jobs.WaitAgain(t, c.WallClock.Now())
+		c.state.jobs.WaitAgain(t, c.WallClock.Now(), 0)
 	case effectRestart:
 		c.state.jobs.SetCheckpoint(t, checkpoint)
-		c.state.jobs.WaitAgain(t, c.WallClock.Now())
+		c.state.jobs.WaitAgain(t, c.WallClock.Now(), x.timeToMakeUp(now))
 	}
 	c.jobChanged(j)
 	c.Journal.Notify()
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -41,6 +41,9 @@
 		// PaceShare is the predicted share of its full pace at which a best-effort task can work on the VM without causing a missed target. It is 1
 		// for other tasks.
 		PaceShare float64
+		// Overdue reports whether a best-effort task starts although it may cause missed targets on the VM, because it has waited too long. It must
+		// get some work done there.
+		Overdue bool
 	}
 
 	// InterferenceModel estimates how much a best-effort program raises the utilisation of a long-running program on the same VM.
@@ -72,8 +75,12 @@
 		heldFor *bookkeeper.Step
 		// planNumber is the number of the current plan.
 		planNumber uint64
-		// idle is the result of mostlyIdle if idleKnown is set.
-		idle, idleKnown bool
+		// The next fields hold the processors of all VMs, in thousandths, if processorsCounted is set: those that are reserved, those that best-effort
+		// tasks would use at full pace, and all.
+		reservedProcessors, bestEffortProcessors, totalProcessors int64
+		processorsCounted                                         bool
+		// jobsWithRun holds the results of jobHasRun in the current plan.
+		jobsWithRun map[*bookkeeper.Job]bool
 		// unplaced holds, by shape, since when the task has waited that has waited longest of those for which the current plan found no VM.
 		unplaced map[shape]time.Time
 	}
@@ -84,6 +91,7 @@
 		service, program, label string
 		size                    resource.Amount
 		bestEffort, longRunning bool
+		overdue                 bool
 	}
 
 	// sortedStep is a step with waiting tasks and the criteria by which the steps are sorted.
@@ -133,13 +141,13 @@
 	d.vms = vms
 	d.planNumber++
 	d.updateMostFree()
-	d.held, d.heldFor, d.idleKnown, d.unplaced = nil, nil, false, map[shape]time.Time{}
+	d.held, d.heldFor, d.processorsCounted, d.unplaced, d.jobsWithRun = nil, nil, false, map[shape]time.Time{}, map[*bookkeeper.Job]bool{}
 	sorted := sortSteps(now, steps, queues)
-	var placements []Placement
-	if s := starvingStep(now, sorted); s != nil {
-		placements = d.placeStarving(now, s, queues[s.Job.Queue].Service, vms)
+	placements := d.placeStarving(now, sorted, queues, vms)
+	placedFirst := map[*bookkeeper.Task]bool{}
+	for _, p := range placements {
+		placedFirst[p.Task] = true
 	}
-	placedFirst := len(placements)
 	for _, c := range sorted {
 		service := queues[c.step.Job.Queue].Service
 		if c.step.Gang {
@@ -150,10 +158,7 @@
 		for _, t := range c.step.Tasks {
 			// The tasks of a step only differ in how long they have waited. The longer a task has waited, the more VMs are acceptable for it. So
 			// after a task for which there is no VM, only tasks that have waited longer are tried.
-			if placedFirst > 0 && t == placements[0].Task {
-				continue
-			}
-			if !t.IsWaiting() || !unplacedWaitingSince.IsZero() && !t.WaitingSince().Before(unplacedWaitingSince) {
+			if placedFirst[t] || !t.IsWaiting() || !unplacedWaitingSince.IsZero() && !t.WaitingSince().Before(unplacedWaitingSince) {
 				continue
 			}
 			v := d.bestVM(now, t, service, vms, "")
@@ -161,7 +166,7 @@
 				unplacedWaitingSince = t.WaitingSince()
 				continue
 			}
-			placements = append(placements, d.place(t, v))
+			placements = append(placements, d.place(now, t, v))
 		}
 	}
 	return placements
@@ -269,14 +274,14 @@
 			if v == nil {
 				break
 			}
-			placed = append(placed, d.place(t, v))
+			placed = append(placed, d.place(now, t, v))
 		}
 		if len(placed) == len(s.Tasks) {
 			return placed
 		}
 		for _, p := range placed {
 			p.VM.Remove(p.Task)
-			d.idleKnown = false
+			d.processorsCounted = false
 		}
 	}
 	return nil
@@ -303,18 +308,20 @@
 	if free, ok := d.mostFree[service]; !ok || !reservation(t.Step.Step).Fits(free) {
 		return nil
 	}
-	taskShape, mayCompare := shapeOf(t.Step, service)
+	r := d.newRequest(now, t)
+	taskShape, mayCompare := r.shape(service)
 	mayCompare = mayCompare && rack == "" && t.Step != d.heldFor
 	if since, ok := d.unplaced[taskShape]; ok && mayCompare && !t.WaitingSince().Before(since) {
 		return nil
 	}
+	r.processors = d.neededProcessors(r, service)
 	var best *VM
 	var bestScore score
 	for _, v := range vms {
 		if v.Service != service || rack != "" && v.Rack != rack {
 			continue
 		}
-		vmScore, refusal := d.mayStart(now, t, v)
+		vmScore, refusal := d.mayStart(r, v)
 		if refusal == RefusedExcluded {
 			// Other steps may not be excluded there.
 			mayCompare = false
@@ -329,8 +336,9 @@
 	return best
 }
 
-// mayStart returns the score of the VM for the task. If the task must not start there now, it returns the reason, which is empty otherwise.
-func (d *Dispatcher) mayStart(now time.Time, t *bookkeeper.Task, v *VM) (score, string) {
+// mayStart returns the score of the VM for the requested start. If the task must not start there now, it returns the reason, which is empty otherwise.
+func (d *Dispatcher) mayStart(r request, v *VM) (score, string) {
+	t := r.task
 	switch {
 	case !v.Schedulable:
 		return score{}, RefusedUnschedulable
@@ -341,18 +349,19 @@
 	case d.Excludes != nil && d.Excludes(t, v):
 		return score{}, RefusedExcluded
 	}
-	return d.scoreVM(now, t, v)
+	return d.scoreVM(r, v)
 }
 
 // Refusals returns the reasons why the task must not start now on VMs of the service, each with the number of those VMs. It holds for the state in
 // which the last plan has left the VMs.
 func (d *Dispatcher) Refusals(now time.Time, t *bookkeeper.Task, service string, vms []*VM) map[string]int {
-	counts := map[string]int{}
+	r, counts := d.newRequest(now, t), map[string]int{}
+	r.processors = d.neededProcessors(r, service)
 	for _, v := range vms {
 		if v.Service != service {
 			continue
 		}
-		if _, refusal := d.mayStart(now, t, v); refusal != "" {
+		if _, refusal := d.mayStart(r, v); refusal != "" {
 			counts[refusal]++
 		}
 	}
@@ -360,17 +369,22 @@
 }
 
 // place adds a run of the task to the VM.
-func (d *Dispatcher) place(t *bookkeeper.Task, v *VM) Placement {
+func (d *Dispatcher) place(now time.Time, t *bookkeeper.Task, v *VM) Placement {
 	p := Placement{Task: t, VM: v, PaceShare: 1}
 	if t.Step.BestEffort {
-		p.PaceShare = d.impactInPlan(t.Step, v).paceShare
+		p.PaceShare, p.Overdue = d.impactInPlan(t.Step, v).paceShare, d.isOverdue(t, now.Sub(t.WaitingSince()))
 	}
 	v.Add(t)
-	d.idleKnown = false
+	d.processorsCounted = false
+	if !t.Step.Gang {
+		// The members of a gang start together, so the first one does not make the others wait longer.
+		d.jobsWithRun[t.Step.Job] = true
+	}
 	return p
 }
 
-// shapeOf returns the shape of the tasks of the step, and false if it cannot be compared with that of other steps.
-func shapeOf(s *bookkeeper.Step, service string) (shape, bool) {
-	return shape{service, s.Program, s.Label, s.Size, s.BestEffort, s.LongRunning}, !s.Gang && s.MaxPerVM == 0
+// shape returns the shape of the task, and false if it cannot be compared with that of other tasks.
+func (r request) shape(service string) (shape, bool) {
+	s := r.task.Step
+	return shape{service, s.Program, s.Label, s.Size, s.BestEffort, s.LongRunning, r.overdue}, !s.Gang && s.MaxPerVM == 0
 }
--- a/internal/batch/dispatcher/dispatcher_test.go
+++ b/internal/batch/dispatcher/dispatcher_test.go
@@ -304,6 +304,52 @@
 			Expect(plan()).To(HaveLen(4))
 		})
 
+		// Guards against a task that never starts while a target is missed on each VM.
+		It("starts a task that has lost too much time where it interferes least, even if targets are missed on all VMs", func() {
+			d.Model = model{{"x", "bad"}: 4}
+			acceptLongRunning("a", "x", 12)
+			addMeasuredVictims(plan(), 0.9)
+			vms[2].SetMeasuredVictims([]dispatcher.Victim{{Program: "x", OwnLoad: 0.6, Limit: 0.78}})
+			for _, v := range vms {
+				v.TargetMissed = true
+			}
+			acceptBestEffort("b", "bad", 1)
+			now = now.Add(dispatcher.MaxInterferenceWait - 1)
+			Expect(plan()).To(BeEmpty())
+			now = now.Add(1)
+			Expect(plan()).To(Equal(map[string]string{"b.0.0.0": "vm-2"}))
+		})
+
+		// Guards against jobs without runs while most processors are not reserved: best-effort tasks on all VMs counted as if they were reserved.
+		It("soon starts one task of each job without runs while most processors are not reserved", func() {
+			d.Model = model{{"x", "bad"}: 4}
+			accept("a", "urgent", job.Step{TaskCount: 4, MaxPerVM: 1, Size: size(10), LongRunning: true, TailTarget: 20 * time.Millisecond, Program: "x"})
+			addMeasuredVictims(plan(), 0.76)
+			acceptBestEffort("none", "none", 16)
+			Expect(plan()).To(HaveLen(16), "these tasks use more than half of the processors")
+			acceptBestEffort("b", "bad", 3)
+			acceptBestEffort("c", "bad", 3)
+			now = now.Add(1900 * time.Millisecond)
+			Expect(plan()).To(BeEmpty())
+			now = now.Add(100 * time.Millisecond)
+			placed := plan()
+			Expect(placed).To(HaveLen(2))
+			Expect(placed).To(HaveKey("b.0.0.0"))
+			Expect(placed).To(HaveKey("c.0.0.0"))
+			Expect(placed["b.0.0.0"]).NotTo(Equal(placed["c.0.0.0"]), "they must not disturb the victims of one VM only")
+		})
+
+		// Guards against a task that never starts because it needs more processors than the long-running tasks leave on any VM.
+		It("starts a task that has lost too much time where most processors are left, if no VM has as many as it needs", func() {
+			acceptLongRunning("a", "x", 12)
+			Expect(plan()).To(HaveLen(12))
+			accept("b", "builds", job.Step{TaskCount: 1, Size: size(24), BestEffort: true, Program: "p"})
+			now = now.Add(dispatcher.MaxInterferenceWait - 1)
+			Expect(plan()).To(BeEmpty())
+			now = now.Add(1)
+			Expect(plan()).To(HaveLen(1))
+		})
+
 		// Guards against a waiting task of which the log does not show what keeps it from starting.
 		It("tells on how many VMs a task must not start, and why", func() {
 			d.Model = model{{"x", "bad"}: 4}
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -44,6 +44,10 @@
 	paceRelaxation = 12 * time.Second
 )
 
+// MaxInterferenceWait is the time that a best-effort task loses at most because of its interference, by waiting or by working slowly. After that it
+// is overdue.
+const MaxInterferenceWait = interferenceWait + paceRelaxation
+
 type (
 	// score is how suitable a VM is for a task. Earlier fields take precedence, and higher values are better.
 	score struct {
@@ -61,6 +65,16 @@
 		preference float64
 	}
 
+	// request is the request to start a task.
+	request struct {
+		task *bookkeeper.Task
+		// waited is how long the task has waited. overdue reports whether it may start whatever its interference is.
+		waited  time.Duration
+		overdue bool
+		// processors is the number of spare processors that a best-effort task needs on a VM, in thousandths.
+		processors float64
+	}
+
 	// impact is the effect that one more task would have on the victims on a VM.
 	impact struct {
 		// maxRise is the highest rise of a victim's utilisation. maxExcess is the highest excess of a victim's utilisation over the limit that
@@ -87,31 +101,79 @@
 	return s.preference > other.preference
 }
 
-// scoreVM returns the score of the VM for the task. If the task must not start there now, it returns the reason, which is empty otherwise.
-func (d *Dispatcher) scoreVM(now time.Time, t *bookkeeper.Task, v *VM) (score, string) {
-	s := t.Step
+// newRequest returns the request to start the task, without the field processors.
+func (d *Dispatcher) newRequest(now time.Time, t *bookkeeper.Task) request {
+	r := request{task: t, waited: now.Sub(t.WaitingSince())}
+	r.overdue = t.Step.BestEffort && d.isOverdue(t, r.waited)
+	return r
+}
+
+// neededProcessors returns the spare processors that the requested start needs on a VM of the service, in thousandths. It is 0 for tasks that are not
+// best-effort.
+func (d *Dispatcher) neededProcessors(r request, service string) float64 {
+	s := r.task.Step
+	if !s.BestEffort {
+		return 0
+	}
+	needed := float64(s.Size.MilliProcessors) * (1 - maxMissingProcessorShare)
+	if !r.overdue {
+		return needed
+	}
+	// A task that needs more than the long-running tasks leave on any VM starts where they leave most.
+	most := 0.0
+	for _, v := range d.vms {
+		if v.Service == service && v.CanHost(s.Step) {
+			most = max(most, d.processorsBesideLongRunning(v))
+		}
+	}
+	return min(needed, most)
+}
+
+// isOverdue reports whether a best-effort task that has waited for the given time starts on any VM with room, even if it causes missed targets
+// there. Without that, it would never start while it interferes with victims near their limits on all VMs. While less than the share maxIdleShare of
+// all processors is reserved, one task of a job without runs is overdue earlier.
+func (d *Dispatcher) isOverdue(t *bookkeeper.Task, waited time.Duration) bool {
+	return waited >= MaxInterferenceWait || waited >= idleInterferenceWait && d.mostlyUnreserved() && !d.jobHasRun(t.Step.Job)
+}
+
+// jobHasRun reports whether a task of the job has a run or starts in the current plan.
+func (d *Dispatcher) jobHasRun(j *bookkeeper.Job) bool {
+	hasRun, ok := d.jobsWithRun[j]
+	if !ok {
+		hasRun = j.HasRun()
+		d.jobsWithRun[j] = hasRun
+	}
+	return hasRun
+}
+
+// scoreVM returns the score of the VM for the requested start. If the task must not start there now, it returns the reason, which is empty otherwise.
+func (d *Dispatcher) scoreVM(r request, v *VM) (score, string) {
+	s := r.task.Step
 	vmScore := score{onPreferredRack: s.PreferredRack == "" || s.PreferredRack == v.Rack}
 	capacity := float64(max(v.Capacity.MilliProcessors, 1))
 	switch {
 	case s.BestEffort:
-		waited := now.Sub(t.WaitingSince())
 		spare, size := d.spareProcessors(v), float64(s.Size.MilliProcessors)
-		if spare < size*(1-maxMissingProcessorShare) {
+		if spare < r.processors {
 			return score{}, RefusedProcessors
 		}
 		predicted := d.impactInPlan(s, v)
-		if predicted.maxExcess > 0 && v.TargetMissed {
+		if predicted.maxExcess > 0 && v.TargetMissed && !r.overdue {
 			return score{}, RefusedTargetMissed
 		}
-		if predicted.maxExcess > 0 && !d.mayStartThrottled(predicted, waited) {
+		if predicted.maxExcess > 0 && !r.overdue && !d.mayStartThrottled(predicted, r.waited) {
 			return score{}, RefusedInterference
 		}
-		if predicted.interferenceUnknown && waited < trialWait && !d.mayStartTrial(s, v) {
+		if predicted.interferenceUnknown && r.waited < trialWait && !d.mayStartTrial(s, v) {
 			return score{}, RefusedTrial
 		}
 		vmScore.interferenceClass, vmScore.preference = interferenceClass(predicted.maxRise), (spare-size)/capacity
 		if predicted.maxExcess > 0 {
 			vmScore.interferenceClass, vmScore.preference = throttledClass, predicted.paceShare
+			if predicted.paceShare == 0 {
+				// Without this, all tasks that could not work on any VM would start on the same one. The value is below all shares of a pace.
+				vmScore.preference = (spare-size)/capacity - 1
+			}
 		}
 	case s.LongRunning:
 		vmScore.interferenceClass = interferenceClass(d.interferenceAt(s, v))
@@ -141,19 +203,29 @@
 	return predicted.paceShare >= minPaceShare*(1-float64(waited-interferenceWait)/float64(paceRelaxation))
 }
 
-// mostlyIdle reports whether less than the share maxIdleShare of all processors is reserved, or needed by best-effort tasks at full pace. It counts
-// the processors once after each placement.
+// mostlyUnreserved reports whether less than the share maxIdleShare of all processors is reserved.
+func (d *Dispatcher) mostlyUnreserved() bool {
+	d.countProcessors()
+	return float64(d.reservedProcessors) < maxIdleShare*float64(d.totalProcessors)
+}
+
+// mostlyIdle reports whether less than the share maxIdleShare of all processors is reserved, or needed by best-effort tasks at full pace.
 func (d *Dispatcher) mostlyIdle() bool {
-	if d.idleKnown {
-		return d.idle
+	d.countProcessors()
+	return float64(d.reservedProcessors+d.bestEffortProcessors) < maxIdleShare*float64(d.totalProcessors)
+}
+
+// countProcessors counts the processors of all VMs, once after each placement.
+func (d *Dispatcher) countProcessors() {
+	if d.processorsCounted {
+		return
 	}
-	var usedProcessors, totalProcessors int64
+	d.reservedProcessors, d.bestEffortProcessors, d.totalProcessors, d.processorsCounted = 0, 0, 0, true
 	for _, v := range d.vms {
-		usedProcessors += v.reserved.MilliProcessors + v.bestEffortProcessors
-		totalProcessors += v.Capacity.MilliProcessors
+		d.reservedProcessors += v.reserved.MilliProcessors
+		d.bestEffortProcessors += v.bestEffortProcessors
+		d.totalProcessors += v.Capacity.MilliProcessors
 	}
-	d.idle, d.idleKnown = float64(usedProcessors) < maxIdleShare*float64(totalProcessors), true
-	return d.idle
 }
 
 // interferenceClass returns the class of the rise, the utilisation that is added to a victim: 2 for the weakest interference, 0 for the
@@ -257,10 +329,18 @@
 // spareProcessors estimates the processors that are left for more best-effort tasks on the VM, in thousandths. They include the share of the
 // reserved processors that best-effort tasks may use, and the processors that throttled tasks leave unused.
 func (d *Dispatcher) spareProcessors(v *VM) float64 {
-	share := d.ReclaimableShare
-	if share == 0 {
-		share = DefaultReclaimableShare
-	}
 	return float64(v.Capacity.MilliProcessors-v.reserved.MilliProcessors-max(v.bestEffortProcessors-v.processorsUnusedByThrottled, 0)) +
-		share*float64(v.longRunningProcessors)
+		d.reclaimableShare()*float64(v.longRunningReserved.MilliProcessors)
+}
+
+// processorsBesideLongRunning returns the processors that would be spare on the VM if only its long-running tasks were there, in thousandths.
+func (d *Dispatcher) processorsBesideLongRunning(v *VM) float64 {
+	return float64(v.Capacity.MilliProcessors) - (1-d.reclaimableShare())*float64(v.longRunningReserved.MilliProcessors)
+}
+
+func (d *Dispatcher) reclaimableShare() float64 {
+	if d.ReclaimableShare == 0 {
+		return DefaultReclaimableShare
+	}
+	return d.ReclaimableShare
 }
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,49 +12,51 @@
 // objective, so that the job has lost most of its value and only its completion is still owed.
 const starvationTime = 15 * time.Second
 
-// starvingStep returns the step that is placed before all others: that of the oldest job which has no run and whose tasks have waited for
-// starvationTime. It returns nil if there is none. Without it, large tasks would wait without a bound in a full fleet, because smaller ones with
-// less remaining work go first and fill all that becomes free.
-func starvingStep(now time.Time, steps []sortedStep) *bookkeeper.Step {
-	hasRun := map[*bookkeeper.Job]bool{}
+// starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
+// has waited for starvationTime. The tasks of the oldest jobs come first. Without them, large tasks would wait without a bound in a full fleet, because
+// smaller ones with less remaining work go first and fill all that becomes free.
+func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
+	longest := map[*bookkeeper.Job]*bookkeeper.Task{}
 	for _, c := range steps {
-		if now.Sub(c.acceptedAt) >= starvationTime && slices.ContainsFunc(c.step.Tasks, isRunning) {
-			hasRun[c.step.Job] = true
-		}
-	}
-	var oldest *bookkeeper.Step
-	for _, c := range steps {
-		if c.step.Gang || now.Sub(c.acceptedAt) < starvationTime || hasRun[c.step.Job] || oldest != nil && !c.acceptedAt.Before(oldest.Job.AcceptedAt) {
+		if c.step.Gang {
 			continue
 		}
-		if t := firstWaiting(c.step); t != nil && now.Sub(t.WaitingSince()) >= starvationTime {
-			oldest = c.step
+		for _, t := range c.step.Tasks {
+			if other := longest[c.step.Job]; t.IsWaiting() && (other == nil || t.WaitingSince().Before(other.WaitingSince())) {
+				longest[c.step.Job] = t
+			}
 		}
 	}
-	return oldest
+	var starving []*bookkeeper.Task
+	for j, t := range longest {
+		waited := now.Sub(t.WaitingSince())
+		if (waited >= starvationTime || t.Step.BestEffort && d.isOverdue(t, waited)) && !d.jobHasRun(j) {
+			starving = append(starving, t)
+		}
+	}
+	slices.SortFunc(starving, func(x, y *bookkeeper.Task) int {
+		return cmp.Or(x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID))
+	})
+	return starving
 }
 
-// isRunning reports whether the task has a run, or may have one.
-func isRunning(t *bookkeeper.Task) bool { return !t.IsWaiting() && !t.IsDone() }
-
-// firstWaiting returns the first waiting task of the step, or nil.
-func firstWaiting(s *bookkeeper.Step) *bookkeeper.Task {
-	for _, t := range s.Tasks {
-		if t.IsWaiting() {
-			return t
+// placeStarving places the starving tasks. If one that has waited for starvationTime fits nowhere now, the first such task holds a VM: in this plan, no
+// task that could fill the VM starts there, so that the running ones leave room.
+func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
+	var placements []Placement
+	for _, t := range d.starvingTasks(now, steps) {
+		service := queues[t.Step.Job.Queue].Service
+		if v := d.bestVM(now, t, service, vms, ""); v != nil {
+			placements = append(placements, d.place(now, t, v))
+		} else if d.held == nil && now.Sub(t.WaitingSince()) >= starvationTime {
+			d.holdVM(t.Step, service, vms)
 		}
 	}
-	return nil
+	return placements
 }
 
-// placeStarving places one task of the starving step. If it fits nowhere now, it holds a VM for it: in this plan, no task that could fill the VM
-// starts there, so that the running ones leave room.
-func (d *Dispatcher) placeStarving(now time.Time, s *bookkeeper.Step, service string, vms []*VM) []Placement {
-	t := firstWaiting(s)
-	if v := d.bestVM(now, t, service, vms, ""); v != nil {
-		return []Placement{d.place(t, v)}
-	}
-	d.heldFor = s
+// holdVM holds for the step the VM on which most of what a task of the step needs is free.
+func (d *Dispatcher) holdVM(s *bookkeeper.Step, service string, vms []*VM) {
 	most := 0.0
 	for _, v := range vms {
 		if v.Service != service || !v.Schedulable || v.TargetMissed || !v.CanHost(s.Step) || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM ||
@@ -61,10 +64,9 @@
 			continue
 		}
 		if share := d.freeShare(s, v); d.held == nil || share > most {
-			d.held, most = v, share
+			d.held, d.heldFor, most = v, s, share
 		}
 	}
-	return nil
 }
 
 // freeShare returns the part of what a task of the step needs that is free on the VM: that of the scarcer one of processors and memory.
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -24,10 +24,10 @@
 	// reserved is the sum of the reservations: the processors of all tasks that are not best-effort, and the memory and accelerators of
 	// all tasks.
 	reserved resource.Amount
-	// longRunningProcessors is the number of processors that long-running tasks reserve, bestEffortProcessors the number that best-effort
-	// tasks would use at full pace, both in thousandths.
-	longRunningProcessors int64
-	bestEffortProcessors  int64
+	// longRunningReserved is the part of reserved that long-running tasks reserve. bestEffortProcessors is the number of processors that best-effort
+	// tasks would use at full pace, in thousandths.
+	longRunningReserved  resource.Amount
+	bestEffortProcessors int64
 	// runCount is the number of runs on the VM.
 	runCount int
 	// runsByStep holds the number of runs of each step on the VM.
@@ -82,13 +82,13 @@
 
 // Reset removes all runs from the VM, so that nothing is reserved there.
 func (v *VM) Reset() {
-	v.reserved, v.longRunningProcessors, v.bestEffortProcessors, v.runsByStep, v.victimsByProgram, v.bestEffortProcessorsByProgram = resource.Amount{}, 0, 0, nil, nil, nil
+	v.reserved, v.longRunningReserved, v.bestEffortProcessors, v.runsByStep, v.victimsByProgram, v.bestEffortProcessorsByProgram = resource.Amount{}, resource.Amount{}, 0, nil, nil, nil
 	v.runCount = 0
 	v.forgetPredictions()
 }
 
 // LongRunningProcessors returns the processors that long-running tasks reserve, in thousandths.
-func (v *VM) LongRunningProcessors() int64 { return v.longRunningProcessors }
+func (v *VM) LongRunningProcessors() int64 { return v.longRunningReserved.MilliProcessors }
 
 // BestEffortProcessors returns the processors that the best-effort tasks would use at full pace, in thousandths.
 func (v *VM) BestEffortProcessors() int64 { return v.bestEffortProcessors }
@@ -125,12 +125,13 @@
 		v.bestEffortProcessors += sign * size.MilliProcessors
 		size.MilliProcessors = 0
 	}
+	change := resource.Amount{
+		MilliProcessors: sign * size.MilliProcessors, MemoryBytes: sign * size.MemoryBytes, Accelerators: sign * size.Accelerators,
+	}
 	if s.LongRunning {
-		v.longRunningProcessors += sign * size.MilliProcessors
+		v.longRunningReserved = v.longRunningReserved.Add(change)
 	}
-	v.reserved = v.reserved.Add(resource.Amount{
-		MilliProcessors: sign * size.MilliProcessors, MemoryBytes: sign * size.MemoryBytes, Accelerators: sign * size.Accelerators,
-	})
+	v.reserved = v.reserved.Add(change)
 }
 
 // forgetPredictions makes all predictions for the VM be computed again.
--- a/internal/batch/pacer/pacer.go
+++ b/internal/batch/pacer/pacer.go
@@ -19,6 +19,14 @@
 	// pauseAfterShare is a share of MissTolerance. When some target has been missed without a break for longer than that, all best-effort
 	// tasks that interfere with a victim that misses its target are paused.
 	pauseAfterShare = 0.55
+	// workShare is a share of MissTolerance, the length of a work period, in which an overdue task works at full pace although that may cause missed
+	// targets. What is left of MissTolerance is for the measurements, the orders and the calls that end the period's effect. After a work period the task
+	// rests, restPeriods times as long, so a victim misses its target because of work periods for less than a quarter of the time.
+	workShare   = 0.4
+	restPeriods = 3
+	// recoveryShare is a share of MissTolerance, the time after which the measurements no longer contain the effect of tasks that were paused. A target
+	// that is still missed then is missed whatever those tasks do.
+	recoveryShare = 0.25
 	// minInterference is the least utilisation that a best-effort task, at full pace, must add to a victim to be throttled because of it.
 	minInterference = 0.01
 )
@@ -34,10 +42,11 @@
 	}
 
 	// BestEffortTask is a task that may be throttled. AddedUtilisation holds the utilisation that the task, at full pace, adds to each victim, in
-	// the order of the victims.
+	// the order of the victims. An overdue task gets work periods.
 	BestEffortTask struct {
 		Name             string
 		AddedUtilisation []float64
+		Overdue          bool
 	}
 
 	// Pacer sets the paces on one VM. Set the exported fields before the first use. It is not safe for concurrent use.
@@ -47,11 +56,16 @@
 
 		// missedSince is the time since which some target has been missed without a break, or the zero time if none is missed now.
 		missedSince time.Time
+		// workUntil is the end of the last work period, or the zero time if there was none.
+		workUntil time.Time
 	}
 )
 
+func share(s float64, d time.Duration) time.Duration { return time.Duration(s * float64(d)) }
+
 // Paces returns the pace of each best-effort task in percent, by the names of the tasks. If a victim's utilisation would be too close to
-// its limit with all tasks at full pace, Paces throttles the tasks that interfere most with the victim first.
+// its limit with all tasks at full pace, Paces throttles the tasks that interfere most with the victim first. Overdue tasks work at full pace in
+// work periods, so that they make progress whatever the victims' own loads are.
 func (p *Pacer) Paces(victims []Victim, tasks []BestEffortTask, now time.Time) map[string]int {
 	anyMissed := slices.ContainsFunc(victims, func(v Victim) bool { return v.TargetMissed })
 	if !anyMissed {
@@ -59,7 +73,7 @@
 	} else if p.missedSince.IsZero() {
 		p.missedSince = now
 	}
-	pausing := anyMissed && now.Sub(p.missedSince) > time.Duration(pauseAfterShare*float64(p.MissTolerance))
+	pausing := anyMissed && now.Sub(p.missedSince) > share(pauseAfterShare, p.MissTolerance)
 	paceShares := make([]float64, len(tasks))
 	for n := range paceShares {
 		paceShares[n] = 1
@@ -71,6 +85,13 @@
 		}
 		reducePaceShares(n, v, tasks, paceShares)
 	}
+	if p.inWorkPeriod(tasks, paceShares, now) {
+		for n, f := range tasks {
+			if f.Overdue {
+				paceShares[n] = 1
+			}
+		}
+	}
 	paces := map[string]int{}
 	for n, f := range tasks {
 		paces[f.Name] = int(paceShares[n]*FullPercent + 0.5)
@@ -78,6 +99,31 @@
 	return paces
 }
 
+// inWorkPeriod reports whether overdue tasks work at full pace now. It begins a work period if an overdue task has less than the share of its full pace
+// that the periods give it, and a period cannot make a target be missed for longer than MissTolerance on end.
+func (p *Pacer) inWorkPeriod(tasks []BestEffortTask, paceShares []float64, now time.Time) bool {
+	if now.Before(p.workUntil) {
+		return true
+	}
+	length := share(workShare, p.MissTolerance)
+	if !p.workUntil.IsZero() && now.Sub(p.workUntil) < restPeriods*length {
+		return false
+	}
+	if !p.missedSince.IsZero() && now.Sub(p.missedSince) < share(pauseAfterShare+recoveryShare, p.MissTolerance) {
+		return false
+	}
+	for n, f := range tasks {
+		if f.Overdue && paceShares[n] < 1.0/(1+restPeriods) {
+			p.workUntil = now.Add(length)
+			return true
+		}
+	}
+	return false
+}
+
+// Working reports whether overdue tasks worked at full pace after the last call of Paces.
+func (p *Pacer) Working(now time.Time) bool { return now.Before(p.workUntil) }
+
 // TargetMissed reports whether a target was missed at the last call of Paces.
 func (p *Pacer) TargetMissed() bool { return !p.missedSince.IsZero() }
 
--- a/internal/batch/pacer/pacer_test.go
+++ b/internal/batch/pacer/pacer_test.go
@@ -56,4 +56,63 @@
 		Expect(p.Paces([]pacer.Victim{{OwnLoad: 0.3, Limit: 0.8}}, bestEffortTasks(0.1), now.Add(3*time.Second))).To(Equal(map[string]int{"a": 100}))
 		Expect(p.TargetMissed()).To(BeFalse())
 	})
+
+	// simulate calls Paces every 200 ms for the given time. missed tells whether a target is missed. It returns the part of the time in which the overdue
+	// task "a" works at full pace, and the longest time on end.
+	simulate := func(p *pacer.Pacer, ownLoad float64, missed func(working bool, sinceWork time.Duration) bool, overdue bool, d time.Duration) (share float64, longest time.Duration) {
+		const step = 200 * time.Millisecond
+		var worked, onEnd time.Duration
+		workedAt, working := now, false
+		for at := now; at.Before(now.Add(d)); at = at.Add(step) {
+			tasks := bestEffortTasks(0.5, 0.2)
+			tasks[0].Overdue = overdue
+			paces := p.Paces([]pacer.Victim{{OwnLoad: ownLoad, Limit: 0.8, TargetMissed: missed(working, at.Sub(workedAt))}}, tasks, at)
+			working = paces["a"] == 100
+			onEnd += step
+			if !working {
+				onEnd = 0
+				continue
+			}
+			worked += step
+			workedAt, longest = at, max(longest, onEnd)
+		}
+		return float64(worked) / float64(d), longest
+	}
+	never := func(bool, time.Duration) bool { return false }
+	// Guards against an overdue task that never works because a victim is near its limit.
+	for name, c := range map[string]struct {
+		ownLoad float64
+		missed  func(working bool, sinceWork time.Duration) bool
+		overdue bool
+		atLeast float64
+	}{
+		"near the limit":              {0.79, never, true, 0.2},
+		"beyond the limit on its own": {0.9, func(bool, time.Duration) bool { return true }, true, 0.2},
+		"beyond the limit by the task": {
+			0.79, func(working bool, sinceWork time.Duration) bool { return working || sinceWork < time.Second }, true, 0.2,
+		},
+		"near the limit, for a task that is not overdue": {0.79, never, false, 0},
+	} {
+		It("lets an overdue task work for a share of the time, but not for long on end: victim "+name, func() {
+			share, longest := simulate(&pacer.Pacer{MissTolerance: 4 * time.Second}, c.ownLoad, c.missed, c.overdue, time.Minute)
+			Expect(share).To(BeNumerically(">=", c.atLeast))
+			Expect(share).To(BeNumerically("<=", 0.27))
+			Expect(longest).To(BeNumerically("<=", 1800*time.Millisecond))
+			if !c.overdue {
+				Expect(share).To(BeZero())
+			}
+		})
+	}
+
+	// Guards against a target that is missed for longer than MissTolerance because a work period begins while it is already missed.
+	It("begins no work period while a target is missed, until the interfering tasks have been paused for long enough", func() {
+		p := &pacer.Pacer{MissTolerance: 4 * time.Second}
+		tasks := bestEffortTasks(0.5)
+		tasks[0].Overdue = true
+		victims := []pacer.Victim{{OwnLoad: 0.79, Limit: 0.8, TargetMissed: true}}
+		for at := now; at.Before(now.Add(3200 * time.Millisecond)); at = at.Add(200 * time.Millisecond) {
+			Expect(p.Paces(victims, tasks, at)["a"]).To(BeNumerically("<", 100))
+		}
+		Expect(p.Paces(victims, tasks, now.Add(3200*time.Millisecond))).To(Equal(map[string]int{"a": 100}))
+	})
 })
