dispatcher: the VM that is held for a starving task is one that it can start on, and nothing else fills it

Callers would see a large task that never starts, or all other tasks waiting for a VM that is held for nothing.

Cause: a held VM protects a starving task's room. It was not held against plain tasks if the starving task is best-effort, so plain tasks filled it again. No VM was held while a target was missed on each, although that limits only best-effort tasks, and those only for a bounded time now. A VM could be held whose long-running tasks leave too little room, which lasts as long as they do: in a fleet of one VM nothing else started any more.

Change: a VM is held only if the task fits beside its long-running tasks, against all tasks that end, whether targets are missed or not.

Result: four cases of the large task among small ones and the new test of a task that fits nowhere failed before the change and hold now.

--- a/internal/batch/dispatcher/overload_test.go
+++ b/internal/batch/dispatcher/overload_test.go
@@ -88,8 +88,13 @@
 
 	// Load pattern: small jobs keep a full fleet busy, and a job of large tasks waits. Each place that becomes free is too small for it and is taken
 	// by the next small task.
-	for name, c := range map[string]struct{ largeBestEffort, smallBestEffort bool }{
-		"best-effort tasks": {true, true}, "plain tasks": {false, false},
+	for name, c := range map[string]struct{ largeBestEffort, smallBestEffort, targetsMissed bool }{
+		"best-effort tasks":                                           {true, true, false},
+		"plain tasks":                                                 {false, false, false},
+		"plain tasks, if it is best-effort":                           {true, false, false},
+		"plain tasks, while targets are missed":                       {false, false, true},
+		"best-effort tasks, while targets are missed":                 {true, true, true},
+		"plain tasks, if it is best-effort, while targets are missed": {true, false, true},
 	} {
 		It("starts a large task of a job that has waited long, among small "+name, func() {
 			const (
@@ -106,6 +111,7 @@
 			for n := range 4 {
 				vms = append(vms, &dispatcher.VM{
 					Name: fmt.Sprint("vm-", n), Service: "s", Capacity: resource.Amount{MilliProcessors: vmProcessors, MemoryBytes: 1000}, Schedulable: true,
+					TargetMissed: c.targetsMissed,
 				})
 			}
 			accept := func(id string, tasks int, processors int64, bestEffort bool) {
@@ -147,6 +153,44 @@
 		})
 	}
 
+	// Guards against a VM that is held forever: a large task waits that fits on no VM while its long-running tasks stay there. Tasks that fit would lose
+	// that VM, and in a fleet of one VM they would never start.
+	It("holds no VM for a task that has room on none beside the long-running tasks, and starts the next job that has waited long", func() {
+		now := time.UnixMilli(1_000_000)
+		b, d := bookkeeper.New(), &dispatcher.Dispatcher{}
+		queues := map[string]dispatcher.Queue{"q": {Service: "s", Stretch: 2, Target: time.Second}}
+		vm := &dispatcher.VM{Name: "vm", Service: "s", Capacity: resource.Amount{MilliProcessors: 10_000, MemoryBytes: 1000}, Schedulable: true}
+		accept := func(id string, step job.Step) *bookkeeper.Job {
+			step.TaskCount = max(step.TaskCount, 1)
+			j := b.Accept(job.Job{ID: id, Queue: "q", Occurrences: 1, AcceptedAt: now, Steps: []job.Step{step}})
+			b.OpenDueOccurrences(j, now)
+			return j
+		}
+		plan := func() []string {
+			var steps []*bookkeeper.Step
+			b.VisitReadySteps(func(s *bookkeeper.Step) { steps = append(steps, s) })
+			var started []string
+			for _, p := range d.Plan(now, steps, queues, []*dispatcher.VM{vm}) {
+				b.RunStarted(p.Task, 1)
+				started = append(started, p.Task.Step.Job.ID)
+			}
+			return started
+		}
+		accept("lasting", job.Step{Size: resource.Amount{MilliProcessors: 6000, MemoryBytes: 500}, LongRunning: true})
+		Expect(plan()).To(Equal([]string{"lasting"}))
+		accept("too-large", job.Step{Size: resource.Amount{MilliProcessors: 5000, MemoryBytes: 1}})
+		now = now.Add(time.Second)
+		accept("first", job.Step{Size: resource.Amount{MilliProcessors: 4000, MemoryBytes: 1}})
+		Expect(plan()).To(Equal([]string{"first"}))
+		accept("next", job.Step{Size: resource.Amount{MilliProcessors: 4000, MemoryBytes: 1}})
+		now = now.Add(20 * time.Second)
+		Expect(plan()).To(BeEmpty())
+		t := b.Task(job.Task{Job: "first"})
+		vm.Remove(t)
+		b.TaskDone(t, now)
+		Expect(plan()).To(Equal([]string{"next"}))
+	})
+
 	// Load pattern: a burst in a full fleet, in which many jobs of a few shapes wait and no VM has room for any of them. Guards against an owner that
 	// has processor time for nothing but its plans.
 	It("searches the VMs once for each shape of waiting task", func() {
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -55,11 +55,12 @@
 	return placements
 }
 
-// holdVM holds for the step the VM on which most of what a task of the step needs is free.
+// holdVM holds for the step the VM on which most of what a task of the step needs is free. It holds none if no VM can ever have room for the step while
+// its long-running tasks stay there.
 func (d *Dispatcher) holdVM(s *bookkeeper.Step, service string, vms []*VM) {
 	most := 0.0
 	for _, v := range vms {
-		if v.Service != service || !v.Schedulable || v.TargetMissed || !v.CanHost(s.Step) || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM ||
+		if v.Service != service || !v.Schedulable || !v.canHostBesideLongRunning(s.Step) || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM ||
 			d.Forbids != nil && d.Forbids(s, v) {
 			continue
 		}
@@ -81,5 +82,5 @@
 
 // isHeldAgainst reports whether the VM is held for the starving step and a task of s would fill it.
 func (d *Dispatcher) isHeldAgainst(s *bookkeeper.Step, v *VM) bool {
-	return v == d.held && s != d.heldFor && !s.LongRunning && (s.BestEffort || !d.heldFor.BestEffort)
+	return v == d.held && s != d.heldFor && !s.LongRunning
 }
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -104,6 +104,11 @@
 	return reservation(s).Fits(v.Capacity)
 }
 
+// canHostBesideLongRunning reports whether the VM could run a task of the step if only its long-running tasks were there, which do not end.
+func (v *VM) canHostBesideLongRunning(s job.Step) bool {
+	return v.CanHost(s) && reservation(s).Fits(v.Capacity.Sub(v.longRunningReserved))
+}
+
 // addRuns adds a run of the task to the VM if sign is 1, and removes one if sign is -1.
 func (v *VM) addRuns(t *bookkeeper.Task, sign int64) {
 	s := t.Step
