dispatcher: a gang that has waited long gets as many held VMs as it needs

Callers would see a gang that never starts in a full fleet.

Cause: the rule for starving tasks left gangs out, since one held VM is not enough for them. All members need room at the same time, and smaller tasks with less remaining work take each place that becomes free.

Change: a starving gang holds the VMs with most free room until its members fit beside the long-running tasks there, or none if they never fit.

--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -70,8 +70,8 @@
 		// began.
 		vms      []*VM
 		mostFree map[string]resource.Amount
-		// held is the VM on which the current plan keeps room for a task of the step heldFor, or nil.
-		held    *VM
+		// held contains the VMs on which the current plan keeps room for the step heldFor, or none if that is nil.
+		held    map[*VM]bool
 		heldFor *bookkeeper.Step
 		// planNumber is the number of the current plan.
 		planNumber uint64
@@ -151,7 +151,9 @@
 	for _, c := range sorted {
 		service := queues[c.step.Job.Queue].Service
 		if c.step.Gang {
-			placements = append(placements, d.placeGang(now, c.step, service, vms)...)
+			if !placedFirst[c.step.Tasks[0]] {
+				placements = append(placements, d.placeGang(now, c.step, service, vms)...)
+			}
 			continue
 		}
 		var unplacedWaitingSince time.Time
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -13,14 +13,11 @@
 const starvationTime = 15 * time.Second
 
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
-// has waited for starvationTime. The tasks of the oldest jobs come first. Without them, large tasks would wait without a bound in a full fleet, because
+// has waited for starvationTime. A task of a gang stands for the whole gang. The tasks of the oldest jobs come first. Without them, large tasks would wait without a bound in a full fleet, because
 // smaller ones with less remaining work go first and fill all that becomes free.
 func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
 	longest := map[*bookkeeper.Job]*bookkeeper.Task{}
 	for _, c := range steps {
-		if c.step.Gang {
-			continue
-		}
 		for _, t := range c.step.Tasks {
 			if other := longest[c.step.Job]; t.IsWaiting() && (other == nil || t.WaitingSince().Before(other.WaitingSince())) {
 				longest[c.step.Job] = t
@@ -40,34 +37,68 @@
 	return starving
 }
 
-// placeStarving places the starving tasks. If one that has waited for starvationTime fits nowhere now, the first such task holds a VM: in this plan, no
-// task that could fill the VM starts there, so that the running ones leave room.
+// placeStarving places the starving tasks. If one that has waited for starvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
+// it needs: in this plan, no task that could fill them starts there, so that the running ones leave room.
 func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
 	var placements []Placement
 	for _, t := range d.starvingTasks(now, steps) {
 		service := queues[t.Step.Job.Queue].Service
-		if v := d.bestVM(now, t, service, vms, ""); v != nil {
-			placements = append(placements, d.place(now, t, v))
-		} else if d.held == nil && now.Sub(t.WaitingSince()) >= starvationTime {
-			d.holdVM(t.Step, service, vms)
+		var placed []Placement
+		if t.Step.Gang {
+			placed = d.placeGang(now, t.Step, service, vms)
+		} else if v := d.bestVM(now, t, service, vms, ""); v != nil {
+			placed = []Placement{d.place(now, t, v)}
+		}
+		placements = append(placements, placed...)
+		if len(placed) == 0 && d.heldFor == nil && now.Sub(t.WaitingSince()) >= starvationTime {
+			d.holdVMs(t.Step, service, vms)
 		}
 	}
 	return placements
 }
 
-// holdVM holds for the step the VM on which most of what a task of the step needs is free. It holds none if no VM can ever have room for the step while
-// its long-running tasks stay there.
-func (d *Dispatcher) holdVM(s *bookkeeper.Step, service string, vms []*VM) {
-	most := 0.0
+// holdVMs holds VMs for the step, those on which most of what a task of the step needs is free: one, or for a gang as many as it needs. It holds none if
+// the VMs cannot have room for the step while their long-running tasks stay there.
+func (d *Dispatcher) holdVMs(s *bookkeeper.Step, service string, vms []*VM) {
+	var candidates []*VM
 	for _, v := range vms {
-		if v.Service != service || !v.Schedulable || !v.canHostBesideLongRunning(s.Step) || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM ||
-			d.Forbids != nil && d.Forbids(s, v) {
-			continue
+		if v.Service == service && v.Schedulable && d.roomBesideLongRunning(s, v) > 0 && (d.Forbids == nil || !d.Forbids(s, v)) {
+			candidates = append(candidates, v)
 		}
-		if share := d.freeShare(s, v); d.held == nil || share > most {
-			d.held, d.heldFor, most = v, s, share
+	}
+	slices.SortStableFunc(candidates, func(x, y *VM) int { return cmp.Compare(d.freeShare(s, y), d.freeShare(s, x)) })
+	needed := 1
+	if s.Gang {
+		needed = len(s.Tasks)
+	}
+	held := map[*VM]bool{}
+	for _, v := range candidates {
+		if needed <= 0 {
+			break
 		}
+		held[v] = true
+		needed -= d.roomBesideLongRunning(s, v)
+	}
+	if needed <= 0 {
+		d.held, d.heldFor = held, s
+	}
+}
+
+// roomBesideLongRunning returns how many more tasks of the step would have room on the VM if only its long-running tasks and its runs of the step were
+// there, at most as many as the step has.
+func (d *Dispatcher) roomBesideLongRunning(s *bookkeeper.Step, v *VM) int {
+	if !v.canHostBesideLongRunning(s.Step) {
+		return 0
+	}
+	room := len(s.Tasks)
+	if s.MaxPerVM > 0 {
+		room = min(room, s.MaxPerVM-v.runsByStep[s])
+	}
+	if s.BestEffort {
+		// A single task may start with fewer processors than it needs.
+		room = min(room, max(int(d.processorsBesideLongRunning(v)/float64(max(s.Size.MilliProcessors, 1))), 1))
 	}
+	return min(room, fitting(reservation(s.Step), v.Capacity.Sub(v.longRunningReserved)))
 }
 
 // freeShare returns the part of what a task of the step needs that is free on the VM: that of the scarcer one of processors and memory.
@@ -82,5 +113,5 @@
 
 // isHeldAgainst reports whether the VM is held for the starving step and a task of s would fill it.
 func (d *Dispatcher) isHeldAgainst(s *bookkeeper.Step, v *VM) bool {
-	return v == d.held && s != d.heldFor && !s.LongRunning
+	return d.held[v] && s != d.heldFor && !s.LongRunning
 }
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"slices"
 
 	"bamboohook/internal/batch/bookkeeper"
@@ -171,15 +172,20 @@
 	if s.MaxPerVM > 0 {
 		room = min(room, s.MaxPerVM-v.runsByStep[s])
 	}
-	needed, free := reservation(s.Step), v.Capacity.Sub(v.reserved)
+	return min(room, fitting(reservation(s.Step), v.Capacity.Sub(v.reserved)))
+}
+
+// fitting returns how many times the needed resources fit into the free ones.
+func fitting(needed, free resource.Amount) int {
+	times := int64(math.MaxInt32)
 	for _, r := range [][2]int64{
 		{needed.MilliProcessors, free.MilliProcessors}, {needed.MemoryBytes, free.MemoryBytes}, {needed.Accelerators, free.Accelerators},
 	} {
 		if r[0] > 0 {
-			room = int(min(int64(room), r[1]/r[0]))
+			times = min(times, r[1]/r[0])
 		}
 	}
-	return room
+	return int(times)
 }
 
 // reservation returns the resources that a task of the step reserves. Best-effort tasks reserve no processors.
