coordinator: work periods begin only after the lost time that the dispatcher grants

Cause: one task of a job without runs starts after 2 s while most processors are not reserved, and got work periods from then on, although it may still find a VM where it does not interfere.

Change: such a run moves if another VM has room for it without interference, and gets work periods only once its task has lost 18 s. The bound does not change, because it counts from then.

--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -205,11 +205,12 @@
 		paceSentAt    time.Time
 		// raisedAt is when the pace was last raised.
 		raisedAt time.Time
-		// lostTime is how long the task of a best-effort run has waited before the run, or the run could not work because of its pace. overdue reports
-		// whether the run must get some work done although it causes missed targets. lostTimeAt is when lostTime was last updated.
+		// lostTime is how long the task of a best-effort run has waited before the run, or the run could not work because of its pace. lostTimeAt is when
+		// lostTime was last updated.
 		lostTime   time.Duration
 		lostTimeAt time.Time
-		overdue    bool
+		// startedOverdue reports whether the task was overdue when the run was placed on the VM.
+		startedOverdue bool
 		// paceLowSince is when the pace fell below stuckBelowPercent, or the zero time if it is not below that now.
 		paceLowSince time.Time
 	}
--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -48,7 +48,7 @@
 		if !ok {
 			continue
 		}
-		if y.overdue && v.pacer.Working(now) {
+		if y.hasLostTooMuch() && v.pacer.Working(now) {
 			y.pace = pace
 		}
 		y.approachPace(pace, now)
@@ -105,7 +105,7 @@
 		}
 		share := float64(y.task.Step.Size.MilliProcessors) / float64(max(v.Capacity.MilliProcessors, 1))
 		y.updateLostTime(now)
-		f := pacer.BestEffortTask{Name: y.taskName, AddedUtilisation: make([]float64, len(victimPrograms)), Overdue: y.overdue}
+		f := pacer.BestEffortTask{Name: y.taskName, AddedUtilisation: make([]float64, len(victimPrograms)), Overdue: y.hasLostTooMuch()}
 		for n, program := range victimPrograms {
 			interference, _ := c.state.interferenceModel.Interference(program, y.task.Step.Program)
 			f.AddedUtilisation[n] = interference * share
@@ -151,14 +151,16 @@
 	}
 }
 
-// updateLostTime adds the time since the last call to the time that the task has lost, as far as the pace kept the run from working. The task is overdue
-// once it has lost as much as it may lose by waiting. Without this, low paces and stops could keep it from completing forever.
+// updateLostTime adds the time since the last call to the time that the task has lost, as far as the pace kept the run from working.
 func (x *run) updateLostTime(now time.Time) {
 	x.lostTime += now.Sub(x.lostTimeAt) * time.Duration(pacer.FullPercent-x.pace) / pacer.FullPercent
 	x.lostTimeAt = now
-	x.overdue = x.overdue || x.lostTime >= dispatcher.MaxInterferenceWait
 }
 
+// hasLostTooMuch reports whether the task has lost as much time as it may lose because of its interference. The run then gets work periods and stays on its
+// VM. Without that, low paces and stops could keep the task from completing forever.
+func (x *run) hasLostTooMuch() bool { return x.lostTime >= dispatcher.MaxInterferenceWait }
+
 // timeToMakeUp returns the time that counts as waited when the task waits again because the run has ended without a result.
 func (x *run) timeToMakeUp(now time.Time) time.Duration {
 	if !x.isBestEffort() {
@@ -169,16 +171,18 @@
 }
 
 // isStuck reports whether the pace of the run has been below stuckBelowPercent for stuckTime, and the run can be stopped without losing much
-// work. Such a run only occupies memory. An overdue run is not stuck, because it gets work periods.
+// work. Such a run only occupies memory. A run that started overdue is not stuck, because its task would start again at once and gain nothing.
 func (x *run) isStuck(now time.Time) bool {
-	return !x.overdue && x.pace < stuckBelowPercent && !x.paceLowSince.IsZero() && now.Sub(x.paceLowSince) > stuckTime && x.needed && !x.stopping && x.expectedInReports &&
-		(x.task.Step.Resumable || x.lastReport.Progress < maxLostProgressPercent)
+	return !x.startedOverdue && !x.hasLostTooMuch() && x.pace < stuckBelowPercent && !x.paceLowSince.IsZero() && now.Sub(x.paceLowSince) > stuckTime &&
+		x.needed && !x.stopping && x.expectedInReports && (x.task.Step.Resumable || x.lastReport.Progress < maxLostProgressPercent)
 }
 
-// shouldMove reports whether the task of the run should resume on another VM: the run is needed, its pace is low, it is old enough to have been
-// measured, and its task has checkpoints. An overdue task stays, because moving without a bound would keep it from completing.
+// shouldMove reports whether the task of the run should continue on another VM, if one has room: the run is needed, its pace is low, it is old enough to
+// have been measured, and its task has checkpoints, or has started overdue and not done much. A task that has lost too much time stays, because moving
+// without a bound would keep it from completing.
 func (x *run) shouldMove(now time.Time) bool {
-	return !x.overdue && x.pace < moveBelowPercent && x.needed && !x.stopping && x.expectedInReports && x.task.Step.Resumable && now.Sub(x.knownSince) > minTimeOnVM
+	return !x.hasLostTooMuch() && x.pace < moveBelowPercent && x.needed && !x.stopping && x.expectedInReports && now.Sub(x.knownSince) > minTimeOnVM &&
+		(x.task.Step.Resumable || x.startedOverdue && x.lastReport.Progress < maxLostProgressPercent)
 }
 
 // worstLatencyRatio returns the highest ratio of a task's latency to its target on the VM, or 0 if none is known.
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -305,7 +305,7 @@
 	c.state.jobs.RunOrdered(t, number)
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
-		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, lostTime: waited, lostTimeAt: now, overdue: p.Overdue,
+		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, lostTime: waited, lostTimeAt: now, startedOverdue: p.Overdue,
 	}
 	if c.queueOf(t.Step.Job).Advised {
 		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
