--- a/internal/batch/coordinator/progress_test.go
+++ b/internal/batch/coordinator/progress_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,13 +26,13 @@
 	fillerProcessors  = 700
 	fillersPerVM      = 4
 	worldInterference = 3.0
-	// worldReaction is the longest time from a measurement to the effect of a pace: the time between two reports, and until a pace is in force.
-	worldReaction = 300 * time.Millisecond
 )
 
 // interferenceWorld simulates VMs with victims whose own load moves, and best-effort tasks that interfere with all of them.
 type interferenceWorld struct {
 	cluster *testCluster
+	// reportInterval is the time between two reports of an agent, a multiple of worldStep.
+	reportInterval time.Duration
 	// ownLoad returns the own load of the victims on the VM. worked is the time since a best-effort task last worked there.
 	ownLoad   func(now time.Duration, vm int, worked time.Duration) float64
 	now       time.Duration
@@ -53,7 +54,7 @@
 func newInterferenceWorld(vms int, ownLoad func(time.Duration, int, time.Duration) float64) *interferenceWorld {
 	w := &interferenceWorld{
 		cluster: newTestCluster(vms), ownLoad: ownLoad, lastWork: map[string]time.Duration{}, latencies: map[string][]float64{}, done: map[string]time.Duration{},
-		numbers: map[string]int{}, doneAt: map[string]time.Duration{}, missedFor: map[string]time.Duration{}, idleFor: map[string]time.Duration{},
+		reportInterval: 2 * worldStep, numbers: map[string]int{}, doneAt: map[string]time.Duration{}, missedFor: map[string]time.Duration{}, idleFor: map[string]time.Duration{},
 	}
 	for name := range w.cluster.agents {
 		w.lastWork[name] = -time.Hour
@@ -61,7 +62,10 @@
 	return w
 }
 
-// step lets worldStep pass. Agents report in each second step.
+// reaction returns the longest time from a measurement to the effect of a pace: the time between two reports, and until a pace is in force.
+func (w *interferenceWorld) reaction() time.Duration { return w.reportInterval + worldStep }
+
+// step lets worldStep pass.
 func (w *interferenceWorld) step() {
 	c := w.cluster
 	for n := range len(c.agents) {
@@ -69,7 +73,7 @@
 	}
 	c.clock.Advance(worldStep)
 	w.now += worldStep
-	if w.now%(2*worldStep) == 0 {
+	if w.now%w.reportInterval == 0 {
 		for n := range len(c.agents) {
 			c.sendReport(c.agents[fmt.Sprint("vm-", n)])
 		}
@@ -176,15 +180,6 @@
 		vms         = 4
 		tasksPerJob = 2
 	)
-	// A work period lasts workPeriod, of which worldReaction may pass before it has an effect, and is followed by three times as long a rest. So an overdue
-	// task is done after a number of periods that follows from its work. Before it is overdue, it may lose MaxInterferenceWait.
-	workPeriod := time.Duration(0.4 * float64(worldTolerance))
-	cycle := 4*workPeriod + 2*worldReaction
-	taskBound := cycle * (2 + worldTaskWork/(workPeriod-worldReaction))
-	// idleBound is the wait after which one task of a job starts anywhere while most processors are not reserved, and the time to start it if there is
-	// room for a task of each job.
-	idleBound := 2*time.Second + worldReaction
-
 	// expectProgress runs the jobs beside three victims on each VM, which reserve the given thousandths of processors. It expects that all tasks are done
 	// within the bound, and that no target is missed for worldTolerance because of them.
 	expectProgress := func(w *interferenceWorld, victimProcessors int64, jobs int) {
@@ -203,6 +198,11 @@
 				Estimate: worldTaskWork,
 			}}})
 		}
+		// A work period lasts workPeriod, of which the reaction may pass before it has an effect, and is followed by three times as long a rest. So a task
+		// that has lost MaxInterferenceWait is done after a number of periods that follows from its work.
+		workPeriod := time.Duration(0.4 * float64(worldTolerance))
+		cycle := 4*workPeriod + 2*w.reaction()
+		taskBound := cycle * (2 + worldTaskWork/(workPeriod-w.reaction()))
 		rounds := time.Duration((jobs*tasksPerJob + vms*fillersPerVM - 1) / (vms * fillersPerVM))
 		bound := dispatcher.MaxInterferenceWait + rounds*taskBound
 		Expect(w.runUntilDone(jobs, tasksPerJob, bound)).To(BeTrue(), "%d of %d tasks are done after %s", len(w.doneAt), jobs*tasksPerJob, bound)
@@ -210,7 +210,8 @@
 		GinkgoWriter.Printf("all done after %s of %s, longest missed %s, missed %s, job idle %s\n", elapsed, bound, w.longestMissed, w.missedTime, w.longestIdle)
 		Expect(w.longestMissed).To(BeNumerically("<", worldTolerance), "targets must not be missed for so long because of best-effort tasks")
 		if 2*3*victimProcessors < worldProcessors && jobs <= vms*fillersPerVM {
-			Expect(w.longestIdle).To(BeNumerically("<=", idleBound))
+			// There is room for a task of each job, so one starts anywhere after 2 s.
+			Expect(w.longestIdle).To(BeNumerically("<=", 2*time.Second+w.reaction()))
 		}
 	}
 
@@ -247,6 +248,33 @@
 		}
 	}
 
+	It("is made by each task within the bound beside victims whose own loads jump at random", func() {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 35))
+			loads, until := make([]float64, vms), make([]time.Duration, vms)
+			w := newInterferenceWorld(vms, func(now time.Duration, vm int, _ time.Duration) float64 {
+				if now >= until[vm] {
+					loads[vm], until[vm] = 0.3+0.6*random.Float64(), now+time.Duration(200+random.IntN(5000))*time.Millisecond
+				}
+				return loads[vm]
+			})
+			By(fmt.Sprint("seed ", seed))
+			expectProgress(w, 600+300*int64(seed%2), 6+8*int(seed/2%2))
+		}
+	})
+
+	// In a large fleet, agents report less often, so a work period ends later.
+	It("is made by each task within the bound while agents report every 600 ms", func() {
+		w := newInterferenceWorld(vms, func(_ time.Duration, _ int, worked time.Duration) float64 {
+			if worked < time.Second {
+				return 0.77
+			}
+			return 0.5
+		})
+		w.reportInterval = 600 * time.Millisecond
+		expectProgress(w, 900, 14)
+	})
+
 	// Guards against tasks that stand still for as long as the time of day is set forward. Waits were measured from the time of day to another clock.
 	for name, offset := range map[string]time.Duration{"forward": time.Hour, "back": -time.Hour} {
 		It("is made by each task within the bound after the time of day of the owner was set "+name, func() {
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -313,7 +313,8 @@
 	r := d.newRequest(now, t)
 	taskShape, mayCompare := r.shape(service)
 	mayCompare = mayCompare && rack == "" && t.Step != d.heldFor
-	if since, ok := d.unplaced[taskShape]; ok && mayCompare && !t.WaitingSince().Before(since) {
+	if since, ok := d.unplaced[taskShape]; ok && mayCompare && (r.overdue || !t.WaitingSince().Before(since)) {
+		// How long an overdue task has waited makes no difference.
 		return nil
 	}
 	r.processors = d.neededProcessors(r, service)
