dispatcher: a long-running task that has waited for 2 s goes before all others and holds a VM

Callers would see one task of a long-running job stay down while the others run.

Cause: only a job without any run counted as starving, so a long-running task beside running ones waited for a VM on which enough memory becomes free at once. Smaller tasks fill a full fleet again before that, without a bound.

Change: each long-running step counts by itself, after 2 s, and comes before the other starving tasks.

--- a/internal/batch/dispatcher/overload_test.go
+++ b/internal/batch/dispatcher/overload_test.go
@@ -159,6 +159,65 @@
 		})
 	}
 
+	// Guards against a long-running task that never starts again beside the other tasks of its job: smaller tasks take all that becomes free.
+	It("starts a long-running task of a job with other runs in a full fleet", func() {
+		now := time.UnixMilli(1_000_000)
+		b, d := bookkeeper.New(), &dispatcher.Dispatcher{}
+		queues := map[string]dispatcher.Queue{"lasting": {Service: "s"}, "q": {Service: "s", Priority: 2, Stretch: 2, Target: time.Second}}
+		var vms []*dispatcher.VM
+		for n := range 3 {
+			vms = append(vms, &dispatcher.VM{
+				Name: fmt.Sprint("vm-", n), Service: "s", Capacity: resource.Amount{MilliProcessors: 32_000, MemoryBytes: 80}, Schedulable: true,
+			})
+		}
+		accept := func(id, queue string, s job.Step) {
+			b.OpenDueOccurrences(b.Accept(job.Job{ID: id, Queue: queue, Occurrences: 1, AcceptedAt: now, Steps: []job.Step{s}}), now)
+		}
+		accept("lasting", "lasting", job.Step{TaskCount: 2, MaxPerVM: 1, LongRunning: true, Size: resource.Amount{MilliProcessors: 4000, MemoryBytes: 30}})
+		var running []dispatcher.Placement
+		lastingStarts := 0
+		plan := func() {
+			var steps []*bookkeeper.Step
+			b.VisitReadySteps(func(s *bookkeeper.Step) { steps = append(steps, s) })
+			for _, p := range d.Plan(now, now, steps, queues, vms) {
+				b.RunStarted(p.Task, p.Task.NextRunNumber())
+				if p.Task.Step.LongRunning {
+					lastingStarts++
+				} else {
+					running = append(running, p)
+				}
+			}
+		}
+		plan()
+		Expect(lastingStarts).To(Equal(2))
+		smallStep := job.Step{TaskCount: 24, BestEffort: true, Size: resource.Amount{MilliProcessors: 100, MemoryBytes: 10}, Estimate: time.Second}
+		accept("first", "q", smallStep)
+		plan()
+		// The VM with one of the long-running tasks is lost and replaced. Small tasks fill what becomes free, one after another.
+		lost := b.Task(job.Task{Job: "lasting"})
+		for _, v := range vms {
+			if v.LongRunningProcessors() > 0 {
+				v.Remove(lost)
+				break
+			}
+		}
+		smallStep.TaskCount = 6
+		accept("more", "q", smallStep)
+		plan()
+		b.WaitAgain(lost, now, 0)
+		for n := 0; n < 200 && lost.IsWaiting(); n++ {
+			now = now.Add(50 * time.Millisecond)
+			ended := running[0]
+			running = running[1:]
+			ended.VM.Remove(ended.Task)
+			b.TaskDone(ended.Task, now)
+			smallStep.TaskCount = 1
+			accept(fmt.Sprint("small", n), "q", smallStep)
+			plan()
+		}
+		Expect(lastingStarts).To(Equal(3))
+	})
+
 	// Guards against a VM that is held forever: a large task waits that fits on no VM while its long-running tasks stay there. Tasks that fit would lose
 	// that VM, and in a fleet of one VM they would never start.
 	It("holds no VM for a task that has room on none beside the long-running tasks, and starts the next job that has waited long", func() {
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -12,19 +12,29 @@
 // objective, so that the job has lost most of its value and only its completion is still owed.
 const starvationTime = 15 * time.Second
 
+// longRunningWait is how long a long-running task may wait until it goes before all others, whether other tasks of its job run or not. Its users miss it
+// from the beginning, and it gets no place of its own while shorter tasks fill all that becomes free.
+const longRunningWait = 2 * time.Second
+
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
-// has waited for starvationTime. A task of a gang stands for the whole gang. The tasks of the oldest jobs come first. Without them, large tasks would wait without a bound in a full fleet, because
+// has waited for starvationTime. A task of a gang stands for the whole gang. Long-running tasks come first, one of each step, if they have waited for
+// longRunningWait, and then the tasks of the oldest jobs. Without them, large tasks would wait without a bound in a full fleet, because
 // smaller ones with less remaining work go first and fill all that becomes free.
 func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
 	longest := map[*bookkeeper.Job]*bookkeeper.Task{}
+	var starving []*bookkeeper.Task
 	for _, c := range steps {
-		for _, t := range c.step.Tasks {
-			if other := longest[c.step.Job]; t.IsWaiting() && (other == nil || t.WaitingSince().Before(other.WaitingSince())) {
-				longest[c.step.Job] = t
+		if c.step.LongRunning {
+			if t := longestWaiting(c.step); t != nil && now.Sub(t.WaitingSince()) >= longRunningWait {
+				starving = append(starving, t)
 			}
+			continue
+		}
+		t, other := longestWaiting(c.step), longest[c.step.Job]
+		if t != nil && (other == nil || t.WaitingSince().Before(other.WaitingSince())) {
+			longest[c.step.Job] = t
 		}
 	}
-	var starving []*bookkeeper.Task
 	for j, t := range longest {
 		waited := now.Sub(t.WaitingSince())
 		if (waited >= starvationTime || t.Step.BestEffort && d.isOverdue(t, waited)) && !d.jobHasRun(j) {
@@ -32,12 +42,32 @@
 		}
 	}
 	slices.SortFunc(starving, func(x, y *bookkeeper.Task) int {
-		return cmp.Or(x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID))
+		if x.Step.LongRunning != y.Step.LongRunning {
+			if x.Step.LongRunning {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(
+			x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID),
+			cmp.Compare(x.Step.Occurrence, y.Step.Occurrence), cmp.Compare(x.Step.Number, y.Step.Number),
+		)
 	})
 	return starving
 }
 
-// placeStarving places the starving tasks. If one that has waited for starvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
+// longestWaiting returns the task of the step that has waited longest, or nil if none waits.
+func longestWaiting(s *bookkeeper.Step) *bookkeeper.Task {
+	var longest *bookkeeper.Task
+	for _, t := range s.Tasks {
+		if t.IsWaiting() && (longest == nil || t.WaitingSince().Before(longest.WaitingSince())) {
+			longest = t
+		}
+	}
+	return longest
+}
+
+// placeStarving places the starving tasks. If one that is long-running or has waited for starvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
 // it needs: in this plan, no task that could fill them starts there, so that the running ones leave room.
 func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
 	var placements []Placement
@@ -50,7 +80,7 @@
 			placed = []Placement{d.place(now, t, v)}
 		}
 		placements = append(placements, placed...)
-		if len(placed) == 0 && d.heldFor == nil && now.Sub(t.WaitingSince()) >= starvationTime {
+		if len(placed) == 0 && d.heldFor == nil && (t.Step.LongRunning || now.Sub(t.WaitingSince()) >= starvationTime) {
 			d.holdVMs(t.Step, service, vms)
 		}
 	}
