dispatcher: a job without runs does not wait for processors that best-effort tasks of other jobs take

Cause: an overdue task goes before all others, but still needed 85 percent of its processors to be spare. Best-effort tasks reserve none and may take all of them.

Change: half a second after it is overdue, the one task of a job without runs shares the processors that other best-effort tasks use.

The new test started nothing at 2.5 s before the change.

--- a/internal/batch/dispatcher/dispatcher_test.go
+++ b/internal/batch/dispatcher/dispatcher_test.go
@@ -339,6 +339,17 @@
 			Expect(placed["b.0.0.0"]).NotTo(Equal(placed["c.0.0.0"]), "they must not disturb the victims of one VM only")
 		})
 
+		// Guards against a job that stands still while the best-effort tasks of other jobs take all processors, of which none is reserved.
+		It("starts one task of a job without runs although best-effort tasks take all processors", func() {
+			acceptBestEffort("others", "p", 40)
+			Expect(plan()).To(HaveLen(32))
+			acceptBestEffort("b", "p", 2)
+			now = now.Add(2499 * time.Millisecond)
+			Expect(plan()).To(BeEmpty())
+			now = now.Add(time.Millisecond)
+			Expect(plan()).To(HaveLen(1))
+		})
+
 		// Guards against a task that never starts because it needs more processors than the long-running tasks leave on any VM.
 		It("starts a task that has lost too much time where most processors are left, if no VM has as many as it needs", func() {
 			acceptLongRunning("a", "x", 12)
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
@@ -38,6 +39,9 @@
 	idleInterferenceWait = 2 * time.Second
 	maxIdleShare         = 0.5
 	minPaceShare         = 0.5
+	// processorWait is how long an overdue task of a job without runs waits for spare processors. It goes before all others then, and best-effort tasks
+	// take seconds, so on a usual fleet a place becomes free in that time.
+	processorWait = 500 * time.Millisecond
 	// paceRelaxation is the time after interferenceWait in which the required share of the full pace falls from minPaceShare to 0. Some
 	// programs interfere with the victims on all VMs. Within that time, the own loads of the victims change so much that each VM has room for
 	// such a program at some moment.
@@ -108,12 +112,12 @@
 	return r
 }
 
-// neededProcessors returns the spare processors that the requested start needs on a VM of the service, in thousandths. It is 0 for tasks that are not
-// best-effort.
+// neededProcessors returns the spare processors that the requested start needs on a VM of the service, in thousandths. An overdue task of a job without
+// runs needs none after processorWait: it shares the processors with the other best-effort tasks, of which only one of each job does so.
 func (d *Dispatcher) neededProcessors(r request, service string) float64 {
 	s := r.task.Step
-	if !s.BestEffort {
-		return 0
+	if !s.BestEffort || r.overdue && r.waited >= idleInterferenceWait+processorWait && !d.jobHasRun(s.Job) {
+		return math.Inf(-1)
 	}
 	needed := float64(s.Size.MilliProcessors) * (1 - maxMissingProcessorShare)
 	if !r.overdue {
