--- a/internal/batch/pacer/pacer.go
+++ b/internal/batch/pacer/pacer.go
@@ -51,7 +51,8 @@
 
 	// Pacer sets the paces on one VM. Set the exported fields before the first use. It is not safe for concurrent use.
 	Pacer struct {
-		// MissTolerance is how long a victim may miss its target because of best-effort tasks.
+		// MissTolerance is how long a victim may miss its target because of best-effort tasks. If it is 0, there are no work periods, so overdue tasks
+		// may make no progress.
 		MissTolerance time.Duration
 
 		// missedSince is the time since which some target has been missed without a break, or the zero time if none is missed now.
@@ -106,6 +107,10 @@
 		return true
 	}
 	length := share(workShare, p.MissTolerance)
+	if length <= 0 {
+		// No target may be missed at all.
+		return false
+	}
 	if !p.workUntil.IsZero() && now.Sub(p.workUntil) < restPeriods*length {
 		return false
 	}
