coordinator: test with agents that are suspended for good

An agent that stands still and never goes on reports nothing and lists no ends. The owner has only its silence to conclude from. The classes of TestTaskNeverRunsTwice suspended processes for 9 s at most, so each agent listed its runs again in the end.

In three new classes, the agents of up to two VMs stand still until the end of the world, also with calls that the endpoint executes late and with takeovers. The clocks of the endpoints are 2% slow, as in all classes, and the leases end by these clocks. The classes fail if a task is started elsewhere before its run has ended by its lease, and if the tasks are not started again.

--- a/internal/batch/coordinator/exclusion_suspend_test.go
+++ b/internal/batch/coordinator/exclusion_suspend_test.go
@@ -21,6 +21,10 @@
 	// sentAfterTimeoutShare is the share of the calls that a suspended process still sends when it goes on, although they have timed out: the
 	// suspension began after the last check of the timeout.
 	sentAfterTimeoutShare = 0.5
+	// minReturningVMs is the number of VMs whose agents are not suspended for good. They have to carry all jobs.
+	minReturningVMs = 2
+	// forGood is longer than any world lasts.
+	forGood = 24 * time.Hour
 )
 
 // suspension makes a process stand still: it sends and receives nothing, while its clock goes on. The mutex of the world protects it.
@@ -63,6 +67,21 @@
 	})
 }
 
+// suspendForGood suspends the agent process of a VM at some time and never resumes it, unless too few others would remain.
+func (w *simWorld) suspendForGood(a *simAgent) {
+	if !w.sleep(w.duration(minSuspensionPeriod, w.faults.time())) {
+		return
+	}
+	w.locked(func(w *simWorld) {
+		if a.process == nil || w.suspendedForGood+minReturningVMs >= len(w.agents) {
+			return
+		}
+		w.suspendedForGood++
+		a.process.suspension.until = time.Now().Add(forGood)
+		w.log("", "%s: suspended for good", a.process.generation)
+	})
+}
+
 // suspendOwner suspends the present owner before some takeovers, and waits until another entry takes over.
 func (w *simWorld) suspendOwner() {
 	if !w.faults.suspensions || !w.chance(suspendedOwnerShare) {
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -78,6 +78,9 @@
 		"suspended processes and takeovers":    {slow: true, suspensions: true, takeovers: true},
 		"suspended processes, late calls":      {slow: true, suspensions: true, takeovers: true, lateCalls: true, agentKills: true},
 		"suspended processes and cuts":         {slow: true, suspensions: true, takeovers: true, cuts: true, lateMessages: true},
+		"agents suspended for good":            {slow: true, lastingSuspensions: true},
+		"suspended for good, late calls":       {slow: true, lastingSuspensions: true, lateCalls: true, lateMessages: true},
+		"suspended for good, takeovers":        {slow: true, lastingSuspensions: true, lateCalls: true, takeovers: true},
 		"steps, gangs and drains":              {steps: true, takeovers: true, agentKills: true},
 		"steps, gangs, drains and late calls":  {steps: true, takeovers: true, lateCalls: true, lateMessages: true},
 		"odd rows, agent kills and late calls": {oddRows: true, agentKills: true, lateCalls: true},
@@ -201,6 +204,9 @@
 	if w.faults.suspensions {
 		go w.suspendSometimes(a)
 	}
+	if w.faults.lastingSuspensions {
+		go w.suspendForGood(a)
+	}
 	if w.faults.cuts {
 		go w.cutOffSometimes(e.vm)
 	}
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -68,6 +68,8 @@
 	// steps after one another, gangs and checkpoints, and endpoints drain. A slow world has longer runs and fewer takeovers, and its faults last longer.
 	simFaults struct {
 		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow, steps, oddRows bool
+		// lastingSuspensions makes the agents of some VMs stand still until the end of the world.
+		lastingSuspensions bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -105,6 +107,8 @@
 		doneEnds  map[string][]*doneEnd
 		failures  map[string]map[simFailure]struct{}
 		violation string
+		// suspendedForGood is the number of agents that will not go on.
+		suspendedForGood int
 	}
 
 	// simFailure identifies a failed run of a task.
