attendant: leases do not grow with the age of the endpoint's clock reading

What callers could see: a second run of a task beside the first one, at a VM whose endpoint executes calls without answering them for more than 20 s and whose agent then loses contact.

Cause: the agent computes when a lease ends on the endpoint's clock from the last clock time that the endpoint has returned, plus the time since then on its own clock. The endpoint's clock may be 2% slow. So a lease got longer by 2% of the age of that reading, without limit but for the endpoint's own limit of 6 s. The owner expects at most 4 s on a clock that is 2% slow (4.08 s), and its total of 7 s (grant 2.5 s, lease 4 s, drift 0.5 s) has room for an age of 20 s only.

Change: the time since the reading counts 2% less. The lease is then never longer than 4 s on the endpoint's clock, whatever its speed. With a clock that runs exactly, it is shorter by 2% of the age: some milliseconds as long as the endpoint answers, and 1 s after 50 s without answers.

Ruled out: a longer drift, as no length covers an unlimited age. An agent that renews nothing without a recent answer would end runs whose leases are safe.

--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -33,6 +33,8 @@
 	// unlistedPause is the time between list requests while the runs are not listed, for example because the owner has not numbered the agent
 	// process yet.
 	unlistedPause = 20 * time.Millisecond
+	// maxClockSlownessPercent is by how many percent at most the endpoint's clock runs slower than the agent's.
+	maxClockSlownessPercent = 2
 )
 
 // listLoop sends list requests to the endpoint, one at a time, until ctx is done.
@@ -147,7 +149,9 @@
 
 // leaseDeadlineMS returns when a lease that begins now expires, in milliseconds on the endpoint's clock. The caller holds the mutex.
 func (a *Attendant) leaseDeadlineMS(now time.Time) int64 {
-	return a.endpointClockMS + now.Sub(a.endpointClockReadAt).Milliseconds() + a.LeaseDurations.Run.Milliseconds()
+	// With the slowest permitted clock since its last reading, the lease is never longer than the owner expects, however old the reading is.
+	leastElapsed := now.Sub(a.endpointClockReadAt) * (100 - maxClockSlownessPercent) / 100
+	return a.endpointClockMS + leastElapsed.Milliseconds() + a.LeaseDurations.Run.Milliseconds()
 }
 
 // handleListError updates the state after the list request q has failed. The caller holds the mutex.
