tests/batch: a failed scenario also keeps the goroutines of its processes

Cause: the kept output tells whether a process ended, is stopped or runs, but not where a running one hangs. Change: after the other output is kept, the processes of the failed scenario end with SIGQUIT, and their logs with all goroutines are kept. No expectation has changed.

--- a/tests/batch/region_test.go
+++ b/tests/batch/region_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -32,6 +33,8 @@
 	// failedRunsDir is the directory in which the output of failed scenarios is kept. Empty means that of the operating system for
 	// temporary files.
 	failedRunsDir = ""
+	// dumpTimeout limits the time for which a failed scenario waits until its processes have written their goroutines.
+	dumpTimeout = 5 * time.Second
 )
 
 type (
@@ -78,8 +81,8 @@
 }
 
 // keepFailedRun copies the settings and logs of all processes to a new directory, which remains after the test, and adds the states of the
-// processes, the records of the stream, the histories of the workers and the events of the entries and agents. A failure beside load is too
-// rare to be repeated with more output.
+// processes, the records of the stream, the histories of the workers, the events of the entries and agents and the goroutines of the processes,
+// which it ends. A failure beside load is too rare to be repeated with more output.
 func (i *installation) keepFailedRun(name string) {
 	dir, err := os.MkdirTemp(failedRunsDir, "bamboohook-batch-"+filepath.Base(i.OutputDir)+"-")
 	if err != nil {
@@ -94,9 +97,6 @@
 		}
 	}
 	save("states.txt", []byte(states))
-	if err := os.CopyFS(dir, os.DirFS(i.OutputDir)); err != nil {
-		fmt.Printf("%s: cannot keep the logs: %v\n", name, err)
-	}
 	// A paused process does not respond, so the requests are sent at the same time.
 	var group sync.WaitGroup
 	for file, source := range i.diagnosticSources() {
@@ -106,6 +106,34 @@
 		})
 	}
 	group.Wait()
+	i.dumpGoroutines()
+	if err := os.CopyFS(dir, os.DirFS(i.OutputDir)); err != nil {
+		fmt.Printf("%s: cannot keep the logs: %v\n", name, err)
+	}
+}
+
+// dumpGoroutines ends the processes with SIGQUIT, at which the Go runtime writes the stacks of all goroutines to the log of the process. They
+// show where a process hangs that neither ended nor responds. A paused process is continued first, because it does not handle SIGQUIT.
+func (i *installation) dumpGoroutines() {
+	names := []string{"log"}
+	for n := range i.Entries {
+		names = append(names, i.EntryName(n))
+	}
+	for n := range i.VMs {
+		names = append(names, i.VMName(n), i.VMName(n)+"-worker")
+	}
+	for _, name := range names {
+		if p := i.Process(name); p != nil {
+			p.Signal(syscall.SIGCONT)
+			p.Signal(syscall.SIGQUIT)
+		}
+	}
+	deadline := time.Now().Add(dumpTimeout)
+	for _, name := range names {
+		if p := i.Process(name); p != nil && !p.Wait(time.Until(deadline)) {
+			fmt.Printf("%s has not written its goroutines within %s\n", name, dumpTimeout)
+		}
+	}
 }
 
 // diagnosticSources returns the address and path of each source that keepFailedRun saves, by file name.
