dispatcher, coordinator: a task whose starts are refused still starts within a bound

What callers saw: a job that needs a whole VM does not start while one VM with free room refuses all starts and other tasks fill the rest.

Cause: a refused start set the task's wait back to nought, so that it did not become a starving task, and no VM was held for it. A starving task was also placed on the refusing VM again and again; while that start was under way, nothing was held, and other tasks filled the room that the held VM had gathered.

Evidence: the new test in coordinator/limits_test.go, 3 VMs of which one refuses all starts.

Change: if a run is not known to have existed, the time before and after its placement counts as waited. A task that has waited for starvationTime does not start on a VM whose last start was refused, if room on another VM can be held for it. Tasks that are not starving try such a VM as before; the first start that the endpoint confirms ends this.

Result: both cases within starvationTime plus the longest time of a task that must leave the held VM (22 s).

--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -209,6 +209,8 @@
 		// lostTime was last updated.
 		lostTime   time.Duration
 		lostTimeAt time.Time
+		// waited is how long the task had waited when the run was placed on the VM.
+		waited time.Duration
 		// startedOverdue reports whether the task was overdue when the run was placed on the VM.
 		startedOverdue bool
 		// paceLowSince is when the pace fell below stuckBelowPercent, or the zero time if it is not below that now.
--- /dev/null
+++ b/internal/batch/coordinator/limits_test.go
@@ -0,0 +1,108 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bamboohook/internal/batch/job"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/resource"
+)
+
+// taskSize returns the size of a task that needs the thousandths of processors and hardly any memory.
+func taskSize(milliProcessors int64) resource.Amount {
+	return resource.Amount{MilliProcessors: milliProcessors, MemoryBytes: 10}
+}
+
+// smallTasks submits small jobs to a queue, so that some always wait, and ends each run after a time.
+type smallTasks struct {
+	cluster   *testCluster
+	queue     string
+	submitted int
+	startedAt map[string]time.Time
+}
+
+// step ends the runs of the small jobs that have lasted for the given time, and submits jobs until 10 wait or run for each VM.
+func (s *smallTasks) step(duration time.Duration) {
+	now, live := s.cluster.clock.Now(), 0
+	for n := range s.submitted {
+		name := fmt.Sprint("small-", n)
+		if s.cluster.state(name, s.queue) == "completed" {
+			continue
+		}
+		live++
+		task := name + ".0.0.0"
+		if s.cluster.countRuns()[task] == 0 {
+			continue
+		}
+		if s.startedAt[task].IsZero() {
+			s.startedAt[task] = now.Add(time.Duration(n%7) * 300 * time.Millisecond)
+		}
+		if now.Sub(s.startedAt[task]) >= duration {
+			s.cluster.agentWith(task).finishRun(task, messenger.RunDone)
+		}
+	}
+	for ; live < 10*len(s.cluster.agents); live++ {
+		response := s.cluster.await(func() messenger.JobResponse {
+			return s.cluster.coordinator.Submit(context.Background(), messenger.JobRequest{Queue: s.queue, Job: job.Job{
+				ID: fmt.Sprint("small-", s.submitted), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000), Estimate: duration}},
+			}})
+		})
+		Expect(response.Outcome).To(Equal(messenger.OutcomeDone))
+		s.submitted++
+	}
+}
+
+// state returns the visible state of a job.
+func (c *testCluster) state(id, queue string) string {
+	return c.coordinator.JobState(context.Background(), messenger.JobRequest{ID: id, Queue: queue}).State
+}
+
+var _ = Describe("Accepted work beside a limit that holds on all VMs", func() {
+	// starvationTime is the wait after which room is kept for a task.
+	const (
+		starvationTime    = 15 * time.Second
+		smallTaskDuration = 4 * time.Second
+		// longestSmallTask is how long a small task may occupy its VM, with the time until its end is reported.
+		longestSmallTask = smallTaskDuration + 2*time.Second + time.Second
+	)
+	whole := job.Step{TaskCount: 1, Size: taskSize(4000), Estimate: 5 * time.Second}
+
+	// firstStart lets time pass until a run of the task exists, or for the given time. It returns the time that has passed.
+	firstStart := func(cluster *testCluster, small *smallTasks, task string, limit time.Duration) time.Duration {
+		for passed := time.Duration(0); passed < limit; passed += 200 * time.Millisecond {
+			if cluster.countRuns()[task] > 0 {
+				return passed
+			}
+			small.step(smallTaskDuration)
+			cluster.simulate(200 * time.Millisecond)
+		}
+		return limit
+	}
+
+	// Guards against a task that never starts: each refusal of a start set its wait back to nought, and while a start was under way that was then refused,
+	// other tasks filled the room that another VM had kept.
+	for name, estimate := range map[string]time.Duration{"after": time.Second / 2, "before": 5 * time.Second} {
+		It("starts although the VM with most room refuses all starts, and other tasks that fill the rest go "+name+" it", func() {
+			cluster := newTestCluster(3)
+			// All jobs meet their objective, so that the order depends on the estimates.
+			cluster.queue.Target = time.Hour
+			cluster.configure()
+			cluster.simulate(time.Second)
+			cluster.agents["vm-0"].refusalReason = "no-grant"
+			small := &smallTasks{cluster: cluster, queue: "q", startedAt: map[string]time.Time{}}
+			for range 20 {
+				small.step(smallTaskDuration)
+				cluster.simulate(200 * time.Millisecond)
+			}
+			step := whole
+			step.Estimate = estimate
+			submitJob(cluster, job.Job{ID: "whole", Occurrences: 1, Steps: []job.Step{step}})
+			Expect(firstStart(cluster, small, "whole.0.0.0", 2*time.Minute)).To(BeNumerically("<=", starvationTime+longestSmallTask))
+		})
+	}
+})
--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -161,8 +161,12 @@
 // VM. Without that, low paces and stops could keep the task from completing forever.
 func (x *run) hasLostTooMuch() bool { return x.lostTime >= dispatcher.MaxInterferenceWait }
 
-// timeToMakeUp returns the time that counts as waited when the task waits again because the run has ended without a result.
+// timeToMakeUp returns the time that counts as waited when the task waits again because the run has ended without a result. If the run is not known to
+// have existed, the task has waited all the time. Otherwise, refused starts would keep it from becoming a starving task.
 func (x *run) timeToMakeUp(now time.Time) time.Duration {
+	if !x.confirmed {
+		return x.waited + now.Sub(x.knownSince)
+	}
 	if !x.isBestEffort() {
 		return 0
 	}
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -305,7 +305,7 @@
 	c.state.jobs.RunOrdered(t, number)
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
-		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, lostTime: waited, lostTimeAt: now, startedOverdue: p.Overdue,
+		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, waited: waited, lostTime: waited, lostTimeAt: now, startedOverdue: p.Overdue,
 	}
 	if c.queueOf(t.Step.Job).Advised {
 		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
@@ -372,6 +372,7 @@
 		switch outcome.Outcome {
 		case messenger.StartDone:
 			x.expectedInReports, x.visibleFrom = true, response.Sequence
+			v.StartsRefused = false
 			c.confirmRun(x)
 		case messenger.StartRefused:
 			v.unschedulableUntil = now.Add(refusalPause)
@@ -402,6 +403,7 @@
 // waits again. Otherwise an earlier copy may have started the run or may still do so. The run is then stopped, unless a report lists it
 // before: the stop keeps all copies from taking effect later, so that the next report shows whether the run exists.
 func (c *Coordinator) handleRefusal(x *run, reason string, now time.Time) {
+	x.vm.StartsRefused = true
 	c.Meter.Count("starts-refused")
 	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("reason", reason).Int("sent", x.startsSent).
 		Str("generation", x.vm.agentGeneration).Msg("agent refused to start a run")
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -111,6 +111,8 @@
 	RefusedUnschedulable = "unschedulable"
 	// RefusedHeld means that the VM is held for a starving step.
 	RefusedHeld = "held"
+	// RefusedStartsRefused means that the last start on the VM was refused, and that another VM is held for the step.
+	RefusedStartsRefused = "starts-refused"
 	// RefusedRoom means that the task does not fit beside the reservations, or that the VM has enough runs of its step.
 	RefusedRoom = "no-room"
 	// RefusedExcluded means that Dispatcher.Excludes excludes the VM.
@@ -347,6 +349,8 @@
 		return score{}, RefusedUnschedulable
 	case d.isHeldAgainst(t.Step, v):
 		return score{}, RefusedHeld
+	case v.StartsRefused && d.heldFor == t.Step:
+		return score{}, RefusedStartsRefused
 	case !v.hasRoomFor(t.Step):
 		return score{}, RefusedRoom
 	case d.Excludes != nil && d.Excludes(t, v):
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -68,25 +68,44 @@
 }
 
 // placeStarving places the starving tasks. If one that is long-running or has waited for starvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
-// it needs: in this plan, no task that could fill them starts there, so that the running ones leave room.
+// it needs: in this plan, no task that could fill them starts there, so that the running ones leave room. Such a task does not start on a VM that refuses
+// starts while room on others can be kept for it, since other tasks would fill that room until the refusal.
 func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
 	var placements []Placement
+	accepting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.StartsRefused })
 	for _, t := range d.starvingTasks(now, steps) {
 		service := queues[t.Step.Job.Queue].Service
-		var placed []Placement
-		if t.Step.Gang {
-			placed = d.placeGang(now, t.Step, service, vms)
-		} else if v := d.bestVM(now, t, service, vms, ""); v != nil {
-			placed = []Placement{d.place(now, t, v)}
+		if d.heldFor != nil || !t.Step.LongRunning && now.Sub(t.WaitingSince()) < starvationTime {
+			placements = append(placements, d.placeStarvingTask(now, t, service, vms)...)
+			continue
 		}
-		placements = append(placements, placed...)
-		if len(placed) == 0 && d.heldFor == nil && (t.Step.LongRunning || now.Sub(t.WaitingSince()) >= starvationTime) {
-			d.holdVMs(t.Step, service, vms)
+		placed := d.placeStarvingTask(now, t, service, accepting)
+		if len(placed) == 0 {
+			d.holdVMs(t.Step, service, accepting)
 		}
+		if len(accepting) < len(vms) {
+			// The failed attempt says nothing about the other VMs.
+			clear(d.unplaced)
+			if len(placed) == 0 && d.heldFor == nil {
+				placed = d.placeStarvingTask(now, t, service, vms)
+			}
+		}
+		placements = append(placements, placed...)
 	}
 	return placements
 }
 
+// placeStarvingTask places the task, or its gang, on one of the VMs if it fits there now.
+func (d *Dispatcher) placeStarvingTask(now time.Time, t *bookkeeper.Task, service string, vms []*VM) []Placement {
+	if t.Step.Gang {
+		return d.placeGang(now, t.Step, service, vms)
+	}
+	if v := d.bestVM(now, t, service, vms, ""); v != nil {
+		return []Placement{d.place(now, t, v)}
+	}
+	return nil
+}
+
 // holdVMs holds VMs for the step, those on which most of what a task of the step needs is free: one, or for a gang as many as it needs. It holds none if
 // the VMs cannot have room for the step while their long-running tasks stay there.
 func (d *Dispatcher) holdVMs(s *bookkeeper.Step, service string, vms []*VM) {
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -19,6 +19,9 @@
 	Capacity resource.Amount
 	// Schedulable reports whether tasks may start on the VM.
 	Schedulable bool
+	// StartsRefused reports whether the last start on the VM was refused. Starving tasks then only start there if room on another VM cannot be kept for
+	// them.
+	StartsRefused bool
 	// TargetMissed reports whether a task on the VM misses its latency target.
 	TargetMissed bool
 
