coordinator: a rejected record of one VM does not keep all VMs out of use

What callers saw: accepted tasks do not start on any VM although only one VM's record is rejected by the store.

Cause: no task starts on a VM before the store holds its record, and the records of all changed VMs were in one write. A write that the store rejects for good is given up as a whole and repeated after 5 s, with the same records, so the limit held on all VMs for as long as one record was rejected.

Evidence: the new test, 4 VMs and a store that rejects the record of one.

Change: each record of a VM is a write of its own, like the progress of each job. The writes still go into common batches.

Result: the test's other VMs start tasks at once, and the fourth one within 6 s after the store accepts its record.

--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -24,8 +24,10 @@
 
 var errNoResponse = eris.New("no response")
 
-// journal is a fake journal that stores writes when flush is called, unless it is blocked. If err is set, FailFast writes fail with it.
+// journal is a fake journal that stores writes when flush is called, unless it is blocked. If err is set, FailFast writes fail with it. If rejectedKey is
+// set, writes with a record of that key are rejected for good.
 type journal struct {
+	rejectedKey string
 	coordinator *coordinator.Coordinator
 	records     []storekeeper.Record
 	blocked     bool
@@ -58,6 +60,10 @@
 		pendingWrites = append(pendingWrites, writes...)
 	}
 	for _, w := range pendingWrites {
+		if j.rejectedKey != "" && slices.ContainsFunc(w.Records, func(r storekeeper.Record) bool { return r.Key == j.rejectedKey }) {
+			w.Done(storekeeper.ErrRejected)
+			continue
+		}
 		if j.err == nil || !w.FailFast {
 			j.records = append(j.records, w.Records...)
 			w.Done(nil)
--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -105,4 +105,20 @@
 			Expect(firstStart(cluster, small, "whole.0.0.0", 2*time.Minute)).To(BeNumerically("<=", starvationTime+longestSmallTask))
 		})
 	}
+
+	// Guards against VMs that all stay out of use because the store rejects the record of one.
+	It("starts on all VMs but the one whose record the store rejects", func() {
+		cluster := newTestCluster(4)
+		cluster.journal.rejectedKey = "vm/vm-2"
+		submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 16, Size: taskSize(1000)}}})
+		cluster.simulate(time.Second)
+		for _, name := range []string{"vm-0", "vm-1", "vm-3"} {
+			Expect(cluster.agents[name].runs).To(HaveLen(4), name)
+		}
+		Expect(cluster.agents["vm-2"].runs).To(BeEmpty())
+		cluster.journal.rejectedKey = ""
+		// A rejected write is tried again after 5 s.
+		cluster.simulate(6 * time.Second)
+		Expect(cluster.agents["vm-2"].runs).To(HaveLen(4))
+	})
 })
--- a/internal/batch/coordinator/record.go
+++ b/internal/batch/coordinator/record.go
@@ -168,40 +168,31 @@
 	return maxJobCollectBytes
 }
 
-// collectVMs returns a write with the records of changed VMs.
+// collectVMs returns a write for the record of each changed VM. If the store rejected the records of all VMs together because of one, no VM could be used.
 func (c *Coordinator) collectVMs() []committer.Write {
 	s := &c.state
-	var records []storekeeper.Record
-	var vmsWithRecord []*vm
-	var names []string
+	var writes []committer.Write
 	for name := range s.changedVMs {
-		if len(names) == c.maxKeys() {
+		if len(writes) == maxKeysPerWrite {
 			break
 		}
 		delete(s.changedVMs, name)
-		names = append(names, name)
 		r := storekeeper.Record{Key: keyVM + name}
-		if v, ok := s.vms[name]; ok && v.mayHaveRuns {
+		v, ok := s.vms[name]
+		hasRecord := ok && v.mayHaveRuns
+		if hasRecord {
 			r.Value = []byte("{}")
-			vmsWithRecord = append(vmsWithRecord, v)
 		}
-		records = append(records, r)
-	}
-	return c.write(records, func(err error) {
-		c.retryAfter(err, func() {
-			for _, name := range names {
-				s.changedVMs[name] = struct{}{}
+		writes = append(writes, c.write([]storekeeper.Record{r}, func(err error) {
+			c.retryAfter(err, func() { s.changedVMs[name] = struct{}{} })
+			if err == nil && hasRecord {
+				// All runs on the VM may have ended while the record was written.
+				v.recordStored = v.mayHaveRuns
 			}
-		})
-		if err != nil {
-			return
-		}
-		for _, v := range vmsWithRecord {
-			// All runs on the VM may have ended while the record was written.
-			v.recordStored = v.mayHaveRuns
-		}
-		c.wakePlanner()
-	})
+			c.wakePlanner()
+		})...)
+	}
+	return writes
 }
 
 // collectRemovals returns a write that removes records.
