inquirer: new steps do not keep others from asking again for tickets

What callers saw: a job of an advised queue waits on while later ones get tickets.

Cause: of the waiting steps, the one whose last request was the longest ago came first, and a step that had not asked yet came before all others. While new steps arrived as fast as the advice service answered, a step whose first request had brought no usable ticket (a denial, an error, a ticket that expired before there was room) did not ask again.

Evidence: the new test in inquirer_test.go fails on the code before.

Change: a step gets a turn when it begins to wait and after each request, and steps ask in the order of their turns.

Result: between two requests of a step there are at most as many others as other steps were waiting at the first one.

--- a/internal/batch/inquirer/inquirer.go
+++ b/internal/batch/inquirer/inquirer.go
@@ -3,6 +3,7 @@
 package inquirer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -22,18 +23,20 @@
 )
 
 type (
-	// Inquirer keeps the answers of the advice service and chooses the next request. Of all waiting steps, the one whose last request is the
-	// longest ago comes first, and for each step, an endpoint comes again only after all others. The service handles the calls of a machine one
+	// Inquirer keeps the answers of the advice service and chooses the next request. Of all waiting steps, the one whose last request, or the beginning of
+	// its wait, is the longest ago comes first, and for each step, an endpoint comes again only after all others. The service handles the calls of a machine one
 	// after another, so there is one request at a time. The zero value is ready to use. Inquirer is not safe for concurrent use.
 	Inquirer struct {
 		steps map[string]*stepAnswers
+		// lastTurn is the highest number of a turn. Steps ask in the order of their turns. A step gets a turn when it begins to wait and after each request.
+		lastTurn uint64
 		// approvedAt holds when an endpoint was last approved for a step of a queue, by queue. The policy of a queue tends to approve the same
 		// endpoints for all steps.
 		approvedAt map[string]map[Endpoint]time.Time
 		// outstanding reports whether a request has no answer yet.
 		outstanding bool
 		pausedUntil time.Time
-		prunedAt    time.Time
+		prunedAt time.Time
 	}
 
 	// Endpoint identifies an endpoint process. A ticket is only valid for the process for which it was issued.
@@ -64,9 +67,9 @@
 		Endpoints []Endpoint
 	}
 
-	// stepAnswers holds the answers for a step. askedAt is when the last request for it was chosen, waitingAt when it was last waiting.
+	// stepAnswers holds the answers for a step. turn is the number of its next turn, waitingAt when it was last waiting.
 	stepAnswers struct {
-		askedAt   time.Time
+		turn      uint64
 		waitingAt time.Time
 		answers   map[Endpoint]answer
 	}
@@ -123,7 +126,10 @@
 	}
 	for _, n := range needs {
 		if q.steps[n.Step] == nil {
-			q.steps[n.Step] = &stepAnswers{answers: map[Endpoint]answer{}}
+			// A new step gets its turn after those that have waited since before. If new steps went first, a steady flow of them would keep the others from
+			// asking again.
+			q.lastTurn++
+			q.steps[n.Step] = &stepAnswers{turn: q.lastTurn, answers: map[Endpoint]answer{}}
 		}
 		q.steps[n.Step].waitingAt = now
 	}
@@ -131,10 +137,11 @@
 		return Request{}, false
 	}
 	needs = slices.Clone(needs)
-	slices.SortStableFunc(needs, func(x, y Need) int { return q.steps[x.Step].askedAt.Compare(q.steps[y.Step].askedAt) })
+	slices.SortStableFunc(needs, func(x, y Need) int { return cmp.Compare(q.steps[x.Step].turn, q.steps[y.Step].turn) })
 	for _, n := range needs {
 		if endpoints := q.choose(n, now); len(endpoints) > 0 {
-			q.steps[n.Step].askedAt, q.outstanding = now, true
+			q.lastTurn++
+			q.steps[n.Step].turn, q.outstanding = q.lastTurn, true
 			return Request{n.Step, n.Queue, endpoints}, true
 		}
 	}
@@ -176,7 +183,8 @@
 	}
 	s := q.steps[r.Step]
 	if s == nil {
-		s = &stepAnswers{askedAt: sentAt, waitingAt: now, answers: map[Endpoint]answer{}}
+		q.lastTurn++
+		s = &stepAnswers{turn: q.lastTurn, waitingAt: now, answers: map[Endpoint]answer{}}
 		q.steps[r.Step] = s
 	}
 	for _, e := range r.Endpoints {
--- a/internal/batch/inquirer/inquirer_test.go
+++ b/internal/batch/inquirer/inquirer_test.go
@@ -135,3 +135,30 @@
 		t.Error("old answers are not removed")
 	}
 }
+
+// Guards against a step that asks once and then never again: steps that had not asked yet went first, and new ones arrived as fast as requests were answered.
+func TestNewStepsDoNotKeepOthersFromAskingAgain(t *testing.T) {
+	var q inquirer.Inquirer
+	now := start
+	need := func(step string) inquirer.Need {
+		return inquirer.Need{Step: step, Queue: "q", Tasks: 1000, Candidates: candidates(1000)}
+	}
+	needs := []inquirer.Need{need("old")}
+	others, othersBefore := 0, 0
+	for n := range 50 {
+		needs = append(needs, need(fmt.Sprint("new-", n)))
+		r, ok := q.Next(needs, now)
+		if !ok {
+			t.Fatal("no request although endpoints are left")
+		}
+		if r.Step == "old" {
+			others, othersBefore = 0, len(needs)-1
+		} else if others++; others > othersBefore {
+			t.Fatalf("%d requests for other steps after a request for the old one, when %d others were waiting", others, othersBefore)
+		}
+		answer(&q, r, now, func(string) bool { return false })
+		now = now.Add(time.Second)
+		// The step that has asked is done, except for the old one.
+		needs = slices.DeleteFunc(needs, func(other inquirer.Need) bool { return other.Step == r.Step && r.Step != "old" })
+	}
+}
