coordinator: room is kept for starving tasks of advised queues before they have a ticket

What callers saw: a job of an advised queue does not start while tasks of other queues fill all VMs.

Cause: tickets are requested for VMs with room, a VM is held only for steps in the plan, and a step of an advised queue was in the plan only while it had a valid ticket. In a full fleet none of these came first. A ticket that did arrive was valid for seconds, mostly less than it takes until a VM that is held has room, and with it the hold ended.

Evidence: the new test, 3 VMs, one of them allowed, filled with tasks of another queue.

Change: a step that has waited for StarvationTime is in the plan without a ticket, so that a VM is held for it; VMs that the service has denied are not held. For StarvationTime after a failed request this does not apply, so that an advice service that is down does not keep a VM idle, or others from a hold, all the time.

Result: the task starts within StarvationTime plus, for each VM, the time until it has room and the answer.

--- a/internal/batch/coordinator/advice.go
+++ b/internal/batch/coordinator/advice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/inquirer"
 )
 
@@ -81,6 +82,15 @@
 	return candidates
 }
 
+// keepsRoomWithoutTicket reports whether a VM may be held for the step although it has no ticket. Tickets are only requested for VMs with room, and in a full
+// fleet there is none unless a VM is held. While the Advisor fails, that would keep the VM from working for nothing.
+func (c *Coordinator) keepsRoomWithoutTicket(s *bookkeeper.Step, now time.Time) bool {
+	failedAt := c.state.inquirer.FailedAt()
+	return (failedAt.IsZero() || now.Sub(failedAt) >= dispatcher.StarvationTime) && slices.ContainsFunc(s.Tasks, func(t *bookkeeper.Task) bool {
+		return t.IsWaiting() && now.Sub(t.WaitingSince()) >= dispatcher.StarvationTime
+	})
+}
+
 // sendTicketRequest sends a request for tickets and records the answer, unless the epoch has ended.
 func (c *Coordinator) sendTicketRequest(ctx context.Context, request ticketRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, request.timeout)
--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"bamboohook/internal/batch/coordinator"
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/resource"
@@ -106,6 +107,51 @@
 		})
 	}
 
+	// advisedCluster returns a cluster with an advised queue "q" that may only use one VM, and tasks of the queue "plain" that fill all VMs.
+	advisedCluster := func() (*testCluster, *advisor, *smallTasks) {
+		cluster := newTestCluster(3)
+		advised := cluster.queue
+		advised.Advised = true
+		a := &advisor{allowed: []string{"i-vm-1"}, asked: map[string]int{}}
+		cluster.coordinator.Advisor, cluster.deferCalls = a, true
+		cluster.configurationVersion++
+		cluster.coordinator.Configure(cluster.configurationVersion, map[string]coordinator.Queue{"q": advised, "plain": cluster.queue})
+		cluster.simulate(time.Second)
+		small := &smallTasks{cluster: cluster, queue: "plain", startedAt: map[string]time.Time{}}
+		for range 20 {
+			small.step(smallTaskDuration)
+			cluster.simulate(200 * time.Millisecond)
+		}
+		return cluster, a, small
+	}
+	// Whether a VM is allowed is only asked when it has room.
+	const longestSearch = 3 * (longestSmallTask + time.Second)
+
+	// Guards against a task of an advised queue that never starts: tickets are requested for VMs with room, and room was kept only for steps with a ticket.
+	It("starts in an advised queue although tasks of other queues fill all VMs", func() {
+		cluster, _, small := advisedCluster()
+		submitJob(cluster, job.Job{ID: "whole", Occurrences: 1, Steps: []job.Step{whole}})
+		Expect(firstStart(cluster, small, "whole.0.0.0", 3*time.Minute)).To(BeNumerically("<=", starvationTime+longestSearch))
+	})
+
+	// Guards against room that is kept for a task of an advised queue all the time while the advice service does not answer.
+	It("starts in other queues while the advice service fails, and in the advised one afterwards", func() {
+		cluster, a, small := advisedCluster()
+		a.err = errNoResponse
+		submitJob(cluster, job.Job{ID: "advised", Occurrences: 1, Steps: []job.Step{whole}})
+		cluster.simulate(time.Second)
+		response := cluster.await(func() messenger.JobResponse {
+			return cluster.coordinator.Submit(context.Background(), messenger.JobRequest{
+				Queue: "plain", Job: job.Job{ID: "whole", Occurrences: 1, Steps: []job.Step{whole}},
+			})
+		})
+		Expect(response.Outcome).To(Equal(messenger.OutcomeDone))
+		Expect(firstStart(cluster, small, "whole.0.0.0", 3*time.Minute)).To(BeNumerically("<=", starvationTime+2*longestSmallTask+time.Second))
+		cluster.agentWith("whole.0.0.0").finishRun("whole.0.0.0", messenger.RunDone)
+		a.err = nil
+		Expect(firstStart(cluster, small, "advised.0.0.0", 3*time.Minute)).To(BeNumerically("<=", starvationTime+longestSearch))
+	})
+
 	// Guards against VMs that all stay out of use because the store rejects the record of one.
 	It("starts on all VMs but the one whose record the store rejects", func() {
 		cluster := newTestCluster(4)
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -232,7 +232,7 @@
 		q := c.queueOf(step.Job)
 		if q.Advised {
 			advisedSteps = append(advisedSteps, step)
-			if !s.inquirer.HasTicket(stepName(step), now) {
+			if !s.inquirer.HasTicket(stepName(step), now) && !c.keepsRoomWithoutTicket(step, now) {
 				return
 			}
 		}
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -8,16 +8,16 @@
 	"bamboohook/internal/batch/bookkeeper"
 )
 
-// starvationTime is how long a job may wait without any run until one of its tasks goes before all others. It is several times as long as a usual
+// StarvationTime is how long a job may wait without any run until one of its tasks goes before all others. It is several times as long as a usual
 // objective, so that the job has lost most of its value and only its completion is still owed.
-const starvationTime = 15 * time.Second
+const StarvationTime = 15 * time.Second
 
 // longRunningWait is how long a long-running task may wait until it goes before all others, whether other tasks of its job run or not. Its users miss it
 // from the beginning, and it gets no place of its own while shorter tasks fill all that becomes free.
 const longRunningWait = 2 * time.Second
 
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
-// has waited for starvationTime. A task of a gang stands for the whole gang. Long-running tasks come first, one of each step, if they have waited for
+// has waited for StarvationTime. A task of a gang stands for the whole gang. Long-running tasks come first, one of each step, if they have waited for
 // longRunningWait, and then the tasks of the oldest jobs. Without them, large tasks would wait without a bound in a full fleet, because
 // smaller ones with less remaining work go first and fill all that becomes free.
 func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
@@ -37,7 +37,7 @@
 	}
 	for j, t := range longest {
 		waited := now.Sub(t.WaitingSince())
-		if (waited >= starvationTime || t.Step.BestEffort && d.isOverdue(t, waited)) && !d.jobHasRun(j) {
+		if (waited >= StarvationTime || t.Step.BestEffort && d.isOverdue(t, waited)) && !d.jobHasRun(j) {
 			starving = append(starving, t)
 		}
 	}
@@ -67,7 +67,7 @@
 	return longest
 }
 
-// placeStarving places the starving tasks. If one that is long-running or has waited for starvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
+// placeStarving places the starving tasks. If one that is long-running or has waited for StarvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
 // it needs: in this plan, no task that could fill them starts there, so that the running ones leave room. Such a task does not start on a VM that refuses
 // starts while room on others can be kept for it, since other tasks would fill that room until the refusal.
 func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
@@ -75,7 +75,7 @@
 	accepting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.StartsRefused })
 	for _, t := range d.starvingTasks(now, steps) {
 		service := queues[t.Step.Job.Queue].Service
-		if d.heldFor != nil || !t.Step.LongRunning && now.Sub(t.WaitingSince()) < starvationTime {
+		if d.heldFor != nil || !t.Step.LongRunning && now.Sub(t.WaitingSince()) < StarvationTime {
 			placements = append(placements, d.placeStarvingTask(now, t, service, vms)...)
 			continue
 		}
--- a/internal/batch/inquirer/inquirer.go
+++ b/internal/batch/inquirer/inquirer.go
@@ -36,6 +36,8 @@
 		// outstanding reports whether a request has no answer yet.
 		outstanding bool
 		pausedUntil time.Time
+		// failedAt is when the last request failed, or the zero time if it was answered.
+		failedAt time.Time
 		prunedAt time.Time
 	}
 
@@ -177,7 +179,7 @@
 // Answer records the answer to the request: the tickets by the IDs of the approved endpoints, which are valid for the given time from when the
 // request was sent.
 func (q *Inquirer) Answer(r Request, tickets map[string]string, validity time.Duration, sentAt, now time.Time) {
-	q.outstanding = false
+	q.outstanding, q.failedAt = false, time.Time{}
 	if q.approvedAt[r.Queue] == nil {
 		q.approvedAt[r.Queue] = map[Endpoint]time.Time{}
 	}
@@ -201,9 +203,12 @@
 
 // Fail records that the request has got no answer. The next request waits for errorPause.
 func (q *Inquirer) Fail(now time.Time) {
-	q.outstanding, q.pausedUntil = false, now.Add(errorPause)
+	q.outstanding, q.pausedUntil, q.failedAt = false, now.Add(errorPause), now
 }
 
+// FailedAt returns when the last request failed, or the zero time if it was answered or if there was none.
+func (q *Inquirer) FailedAt() time.Time { return q.failedAt }
+
 // prune removes what is older than stepRetention, from time to time.
 func (q *Inquirer) prune(now time.Time) {
 	if now.Sub(q.prunedAt) < stepRetention {
