dispatcher, coordinator: only one task or gang at a time probes a VM whose circuit breaker is open

What callers saw: jobs end as failed on a VM that fails all runs, although its circuit breaker has opened.

Cause: whether the circuit breaker allows a probe was asked once before a plan. The plan then placed as many tasks on the VM as had room there.

Evidence: the new test, one VM that fails all runs. Before: 4 runs at once after the circuit breaker allowed a probe.

Change: while the circuit breaker is open, a plan places one task on the VM, or the tasks of one gang, which could not start otherwise.

Result: one run at a time, and after a probe that is done all 8 jobs complete within 10 s.

--- a/internal/batch/breaker/breaker.go
+++ b/internal/batch/breaker/breaker.go
@@ -67,6 +67,9 @@
 	return b.probesFrom.IsZero() || !now.Before(b.probesFrom) && now.Sub(b.probedAt) >= probeInterval
 }
 
+// Open reports whether the breaker is open, so that runs which it allows are probes.
+func (b *Breaker) Open() bool { return !b.probesFrom.IsZero() }
+
 // Started records that a run was started. If the breaker is open, the run is a probe.
 func (b *Breaker) Started(now time.Time) {
 	if !b.probesFrom.IsZero() {
--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -167,4 +167,56 @@
 		cluster.simulate(6 * time.Second)
 		Expect(cluster.agents["vm-2"].runs).To(HaveLen(4))
 	})
+
+	// Guards against jobs that fail on a VM that fails all runs: its circuit breaker allowed as many probes as there was room for in one plan.
+	It("starts one run at a time on a VM whose circuit breaker is open", func() {
+		cluster := newTestCluster(1)
+		cluster.queue.Attempts = 0
+		cluster.configure()
+		for n := range 8 {
+			submitJob(cluster, job.Job{ID: fmt.Sprint("job-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000)}}})
+		}
+		a := cluster.agents["vm-0"]
+		cluster.simulate(time.Second)
+		Expect(a.runs).To(HaveLen(4))
+		cluster.finishAllRuns(messenger.RunFailed)
+		started := len(a.starts)
+		// The circuit breaker allows probes after 1 s, 2 s, 4 s and 8 s.
+		for range 160 {
+			cluster.simulate(100 * time.Millisecond)
+			Expect(len(a.runs)).To(BeNumerically("<=", 1))
+			cluster.simulate(200 * time.Millisecond)
+			cluster.finishAllRuns(messenger.RunFailed)
+		}
+		Expect(len(a.starts) - started).To(BeNumerically("~", 6, 2))
+		// The last failure keeps the VM out of use for at most 8 s. After that, a probe that is done puts it into use again.
+		for range 50 {
+			cluster.simulate(200 * time.Millisecond)
+			cluster.finishAllRuns(messenger.RunDone)
+		}
+		for n := range 8 {
+			Expect(cluster.state(fmt.Sprint("job-", n), "q")).To(Equal("completed"))
+		}
+	})
+
+	// Guards against a gang that never starts because the VMs that it needs are probed one by one.
+	It("starts a gang that needs all VMs after runs of other jobs have opened their circuit breakers", func() {
+		cluster := newTestCluster(3)
+		for n := range 2 {
+			submitJob(cluster, job.Job{ID: fmt.Sprint("bad-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 6, Size: taskSize(1000)}}})
+		}
+		cluster.simulate(time.Second)
+		Expect(cluster.countRuns()).To(HaveLen(12))
+		submitJob(cluster, job.Job{ID: "gang", Occurrences: 1, Steps: []job.Step{{TaskCount: 6, Size: taskSize(2000), Gang: true}}})
+		for range 2 {
+			cluster.finishAllRuns(messenger.RunFailed)
+			cluster.simulate(3 * time.Second)
+		}
+		cluster.finishAllRuns(messenger.RunFailed)
+		cluster.simulate(9 * time.Second)
+		runs := cluster.countRuns()
+		for n := range 6 {
+			Expect(runs).To(HaveKey(fmt.Sprint("gang.0.0.", n)))
+		}
+	})
 })
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -269,7 +269,7 @@
 	vms := make([]*dispatcher.VM, 0, len(c.state.vms))
 	coordinatorVMs := make(map[*dispatcher.VM]*vm, len(c.state.vms))
 	for _, v := range c.state.vms {
-		v.Schedulable = c.schedulable(v, now)
+		v.Schedulable, v.Probing = c.schedulable(v, now), v.breaker.Open()
 		vms = append(vms, &v.VM)
 		coordinatorVMs[&v.VM] = v
 	}
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -144,6 +144,9 @@
 	d.planNumber++
 	d.updateMostFree()
 	d.held, d.heldFor, d.processorsCounted, d.unplaced, d.jobsWithRun = nil, nil, false, map[shape]time.Time{}, map[*bookkeeper.Job]bool{}
+	for _, v := range vms {
+		v.startedStep = nil
+	}
 	sorted := sortSteps(wallTime, steps, queues)
 	placements := d.placeStarving(now, sorted, queues, vms)
 	placedFirst := map[*bookkeeper.Task]bool{}
@@ -285,6 +288,9 @@
 		}
 		for _, p := range placed {
 			p.VM.Remove(p.Task)
+			if p.VM.startedStep == s {
+				p.VM.startedStep = nil
+			}
 			d.processorsCounted = false
 		}
 	}
@@ -382,6 +388,7 @@
 		p.PaceShare, p.Overdue = d.impactInPlan(t.Step, v).paceShare, d.isOverdue(t, now.Sub(t.WaitingSince()))
 	}
 	v.Add(t)
+	v.startedStep = t.Step
 	d.processorsCounted = false
 	if !t.Step.Gang {
 		// The members of a gang start together, so the first one does not make the others wait longer.
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -19,6 +19,8 @@
 	Capacity resource.Amount
 	// Schedulable reports whether tasks may start on the VM.
 	Schedulable bool
+	// Probing reports whether only one task or gang may start on the VM in a plan, to test the VM.
+	Probing bool
 	// StartsRefused reports whether the last start on the VM was refused. Starving tasks then only start there if room on another VM cannot be kept for
 	// them.
 	StartsRefused bool
@@ -34,6 +36,8 @@
 	bestEffortProcessors int64
 	// runCount is the number of runs on the VM.
 	runCount int
+	// startedStep is the step of which a task was last placed on the VM in the current plan, or nil.
+	startedStep *bookkeeper.Step
 	// runsByStep holds the number of runs of each step on the VM.
 	runsByStep map[*bookkeeper.Step]int
 	// victimsByProgram holds the number of victims on the VM that run each program, whether they were measured or not.
@@ -160,6 +164,9 @@
 
 // hasRoomFor reports whether one more task of the step may start on the VM and fits beside the reservations there.
 func (v *VM) hasRoomFor(s *bookkeeper.Step) bool {
+	if v.Probing && v.startedStep != nil && !(s.Gang && s == v.startedStep) {
+		return false
+	}
 	if !v.Schedulable || v.runCount >= messenger.MaxRunsPerVM || s.MaxPerVM > 0 && v.runsByStep[s] >= s.MaxPerVM {
 		return false
 	}
