dispatcher: of the starving tasks, the one that has waited longest goes first

What callers saw: jobs do not start while older jobs fail everywhere and have no limit of failures (a queue with 0 attempts, or long-running tasks).

Cause: the runs of those jobs open the circuit breakers of all VMs, which then allow one probe in 8 s. Of the tasks that had waited for StarvationTime, that of the oldest job went first. A job that fails is soon starving again, so with more such jobs than probes within StarvationTime, all probes went to them.

Change: starving tasks go in the order of the times since which they wait; the age of the job decides only between equal ones. A job whose run has failed waits anew and goes behind the others.

No test was changed.

--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -18,7 +18,8 @@
 
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
 // has waited for StarvationTime. A task of a gang stands for the whole gang. Long-running tasks come first, one of each step, if they have waited for
-// longRunningWait, and then the tasks of the oldest jobs. Without them, large tasks would wait without a bound in a full fleet, because
+// longRunningWait, and then the tasks that have waited longest, so that jobs whose runs fail again and again do not go before the others each time. Without
+// starving tasks, large tasks would wait without a bound in a full fleet, because
 // smaller ones with less remaining work go first and fill all that becomes free.
 func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
 	longest := map[*bookkeeper.Job]*bookkeeper.Task{}
@@ -49,7 +50,7 @@
 			return 1
 		}
 		return cmp.Or(
-			x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID),
+			x.WaitingSince().Compare(y.WaitingSince()), x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID),
 			cmp.Compare(x.Step.Occurrence, y.Step.Occurrence), cmp.Compare(x.Step.Number, y.Step.Number),
 		)
 	})
