dispatcher, coordinator: VMs whose circuit breakers are open may be held for a gang

What callers saw: a gang that needs all VMs does not start while other jobs fail everywhere.

Cause: each VM allowed a probe at another time, and other tasks used it at once, so the VMs were never open for the gang at the same time. A VM was held for a starving step only while tasks could start there in that plan.

Evidence: the new test, 24 jobs that fail everywhere on 3 VMs, then a gang for all VMs.

Change: a VM on which only the circuit breaker keeps tasks from starting may be held, after all others. Nothing else is probed there then, and after at most 8 s it allows starts until the gang takes it.

Result: the gang starts when the jobs that have waited longer have had their probes, within the bound of the test (15 s + 9 * 10 s).

--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -261,4 +261,42 @@
 		}
 		Expect(started).To(Equal(good))
 	})
+
+	// Guards against a gang that never starts because the circuit breakers of the VMs that it needs never allow starts at the same time: jobs that fail
+	// everywhere used the probe of each VM.
+	It("starts a gang that needs all VMs although jobs that fail everywhere keep their circuit breakers open", func() {
+		cluster := newTestCluster(3)
+		cluster.queue.Attempts = 0
+		cluster.configure()
+		for n := range bad {
+			submitJob(cluster, job.Job{ID: fmt.Sprint("bad-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000)}}})
+		}
+		ages := map[string]int{}
+		failBad := func() {
+			cluster.simulate(200 * time.Millisecond)
+			for n := range len(cluster.agents) {
+				// The runs last longer on each further VM, so that the circuit breakers open at different times.
+				a := cluster.agents[fmt.Sprint("vm-", n)]
+				for task := range a.runs {
+					if ages[task]++; task[:3] == "bad" && ages[task] > 3*n {
+						delete(ages, task)
+						a.finishRun(task, messenger.RunFailed)
+					}
+				}
+			}
+		}
+		for range 50 {
+			failBad()
+		}
+		Expect(len(cluster.countRuns())).To(BeNumerically("<=", len(cluster.agents)), "only probes run")
+		submitJob(cluster, job.Job{ID: "gang", Occurrences: 1, Steps: []job.Step{{TaskCount: 6, Size: taskSize(2000), Gang: true, Estimate: time.Hour}}})
+		// The jobs that have waited longer get probes first. Then all VMs are held, and the last failures keep them out of use for at most 8 s.
+		for range int((starvationTime + (bad/3+1)*(8*time.Second+2*time.Second)) / (200 * time.Millisecond)) {
+			failBad()
+		}
+		runs := cluster.countRuns()
+		for n := range 6 {
+			Expect(runs).To(HaveKey(fmt.Sprint("gang.0.0.", n)))
+		}
+	})
 })
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -269,7 +269,8 @@
 	vms := make([]*dispatcher.VM, 0, len(c.state.vms))
 	coordinatorVMs := make(map[*dispatcher.VM]*vm, len(c.state.vms))
 	for _, v := range c.state.vms {
-		v.Schedulable, v.Probing = c.schedulable(v, now), v.breaker.Open()
+		usable := c.usable(v, now)
+		v.Schedulable, v.SchedulableSoon, v.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
 		vms = append(vms, &v.VM)
 		coordinatorVMs[&v.VM] = v
 	}
@@ -277,10 +278,10 @@
 	return vms, coordinatorVMs
 }
 
-// schedulable reports whether tasks may start on the VM now.
-func (c *Coordinator) schedulable(v *vm, now time.Time) bool {
+// usable reports whether tasks may start on the VM now if its circuit breaker allows it.
+func (c *Coordinator) usable(v *vm, now time.Time) bool {
 	if !v.recordStored || v.lastReportAt.IsZero() || !v.runsListed || v.reportedState != messenger.VMUp || now.Sub(v.lastReportAt) > maxReportAge ||
-		now.Before(v.unschedulableUntil) || !v.breaker.Allows(now) {
+		now.Before(v.unschedulableUntil) {
 		return false
 	}
 	// If the job of a run is unknown, the resources that the run takes are unknown too.
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -112,11 +112,19 @@
 func (d *Dispatcher) holdVMs(s *bookkeeper.Step, service string, vms []*VM) {
 	var candidates []*VM
 	for _, v := range vms {
-		if v.Service == service && v.Schedulable && d.roomBesideLongRunning(s, v) > 0 && (d.Forbids == nil || !d.Forbids(s, v)) {
+		if v.Service == service && (v.Schedulable || v.SchedulableSoon) && d.roomBesideLongRunning(s, v) > 0 && (d.Forbids == nil || !d.Forbids(s, v)) {
 			candidates = append(candidates, v)
 		}
 	}
-	slices.SortStableFunc(candidates, func(x, y *VM) int { return cmp.Compare(d.freeShare(s, y), d.freeShare(s, x)) })
+	slices.SortStableFunc(candidates, func(x, y *VM) int {
+		switch {
+		case x.Schedulable && !y.Schedulable:
+			return -1
+		case y.Schedulable && !x.Schedulable:
+			return 1
+		}
+		return cmp.Compare(d.freeShare(s, y), d.freeShare(s, x))
+	})
 	needed := 1
 	if s.Gang {
 		needed = len(s.Tasks)
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -19,6 +19,9 @@
 	Capacity resource.Amount
 	// Schedulable reports whether tasks may start on the VM.
 	Schedulable bool
+	// SchedulableSoon reports whether only a circuit breaker keeps tasks from starting on the VM, which allows a start within a bound. Such a VM may be held
+	// for a starving step: a gang would not start while other tasks use the probes of its VMs one by one.
+	SchedulableSoon bool
 	// Probing reports whether only one task or gang may start on the VM in a plan, to test the VM.
 	Probing bool
 	// StartsRefused reports whether the last start on the VM was refused. Starving tasks then only start there if room on another VM cannot be kept for
