dispatcher: long-running tasks that fail everywhere do not use all probes

What callers saw: jobs do not start while long-running tasks fail on all VMs.

Cause: as for jobs without a limit of failures, but by the rule that long-running tasks which have waited 2 s go before all others. The runs of such tasks fail without a limit, so with more of them than probes within 2 s, all probes went to them.

Evidence: the test "starts on VMs whose circuit breakers are open because of long-running jobs that fail everywhere": before, none of 6 jobs was started within 97 s of simulated time.

Change: starving tasks go in the order of the times since which they go before others: 2 s after a long-running task began to wait, 15 s after others did. A long-running task still goes before all that began to wait less than 13 s before it.

Result: all 6 start within the bound.

--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -223,44 +223,46 @@
 	})
 
 	// Guards against jobs that never start because jobs that fail everywhere, without a limit of failures, use all probes.
-	It("starts on VMs whose circuit breakers are open because of jobs that fail everywhere", func() {
-		cluster := newTestCluster(3)
-		cluster.queue.Attempts = 0
-		cluster.configure()
-		for n := range bad {
-			submitJob(cluster, job.Job{ID: fmt.Sprint("bad-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000)}}})
-		}
-		failBad := func() {
-			for _, a := range cluster.agents {
-				for task := range a.runs {
-					if task[:3] == "bad" {
-						a.finishRun(task, messenger.RunFailed)
+	for name, longRunning := range map[string]bool{"jobs": false, "long-running jobs": true} {
+		It("starts on VMs whose circuit breakers are open because of "+name+" that fail everywhere", func() {
+			cluster := newTestCluster(3)
+			cluster.queue.Attempts = 0
+			cluster.configure()
+			for n := range bad {
+				submitJob(cluster, job.Job{ID: fmt.Sprint("bad-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000), LongRunning: longRunning}}})
+			}
+			failBad := func() {
+				for _, a := range cluster.agents {
+					for task := range a.runs {
+						if task[:3] == "bad" {
+							a.finishRun(task, messenger.RunFailed)
+						}
 					}
 				}
 			}
-		}
-		for range 50 {
-			cluster.simulate(200 * time.Millisecond)
-			failBad()
-		}
-		Expect(len(cluster.countRuns())).To(BeNumerically("<=", len(cluster.agents)), "only probes run")
-		const good = 6
-		for n := range good {
-			submitJob(cluster, job.Job{ID: fmt.Sprint("good-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000), Estimate: time.Hour}}})
-		}
-		// Each circuit breaker allows a probe within 8 s, and the job that has waited longest gets it.
-		for range int((starvationTime + (bad+good)/3*(8*time.Second+200*time.Millisecond)) / (200 * time.Millisecond)) {
-			cluster.simulate(200 * time.Millisecond)
-			failBad()
-		}
-		started := 0
-		for task := range cluster.countRuns() {
-			if task[0] == 'g' {
-				started++
+			for range 50 {
+				cluster.simulate(200 * time.Millisecond)
+				failBad()
 			}
-		}
-		Expect(started).To(Equal(good))
-	})
+			Expect(len(cluster.countRuns())).To(BeNumerically("<=", len(cluster.agents)), "only probes run")
+			const good = 6
+			for n := range good {
+				submitJob(cluster, job.Job{ID: fmt.Sprint("good-", n), Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000), Estimate: time.Hour}}})
+			}
+			// Each circuit breaker allows a probe within 8 s, and the job that has waited longest gets it.
+			for range int((starvationTime + (bad+good)/3*(8*time.Second+200*time.Millisecond)) / (200 * time.Millisecond)) {
+				cluster.simulate(200 * time.Millisecond)
+				failBad()
+			}
+			started := 0
+			for task := range cluster.countRuns() {
+				if task[0] == 'g' {
+					started++
+				}
+			}
+			Expect(started).To(Equal(good))
+		})
+	}
 
 	// Guards against a gang that never starts because the circuit breakers of the VMs that it needs never allow starts at the same time: jobs that fail
 	// everywhere used the probe of each VM.
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -17,8 +17,8 @@
 const longRunningWait = 2 * time.Second
 
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
-// has waited for StarvationTime. A task of a gang stands for the whole gang. Long-running tasks come first, one of each step, if they have waited for
-// longRunningWait, and then the tasks that have waited longest, so that jobs whose runs fail again and again do not go before the others each time. Without
+// has waited for StarvationTime. A task of a gang stands for the whole gang. So does, for each long-running step, a task that has waited for
+// longRunningWait. They come in the order of firstFrom, so that jobs whose runs fail again and again do not go before the others each time. Without
 // starving tasks, large tasks would wait without a bound in a full fleet, because
 // smaller ones with less remaining work go first and fill all that becomes free.
 func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
@@ -43,20 +43,22 @@
 		}
 	}
 	slices.SortFunc(starving, func(x, y *bookkeeper.Task) int {
-		if x.Step.LongRunning != y.Step.LongRunning {
-			if x.Step.LongRunning {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Or(
-			x.WaitingSince().Compare(y.WaitingSince()), x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID),
+			firstFrom(x).Compare(firstFrom(y)), x.Step.Job.AcceptedAt.Compare(y.Step.Job.AcceptedAt), cmp.Compare(x.Step.Job.ID, y.Step.Job.ID),
 			cmp.Compare(x.Step.Occurrence, y.Step.Occurrence), cmp.Compare(x.Step.Number, y.Step.Number),
 		)
 	})
 	return starving
 }
 
+// firstFrom returns since when the task goes before others because of its wait. By this order, a task that fails again and again goes behind the others.
+func firstFrom(t *bookkeeper.Task) time.Time {
+	if t.Step.LongRunning {
+		return t.WaitingSince().Add(longRunningWait)
+	}
+	return t.WaitingSince().Add(StarvationTime)
+}
+
 // longestWaiting returns the task of the step that has waited longest, or nil if none waits.
 func longestWaiting(s *bookkeeper.Step) *bookkeeper.Task {
 	var longest *bookkeeper.Task
