coordinator: reports without a list of runs do not keep a VM from being lost

Callers would see tasks that never start elsewhere while the agent of their VM goes on reporting, but its endpoint answers no list request.

Cause: each report set back the time after which a VM counts as lost, and was granted leases, although an agent without a list renews none: the leases of its runs expire, and nothing tells the owner.

Change: such a report gets no grant, and the silence of a VM with runs counts from the last report that listed them, or from the number of the agent process. The total of grant, lease and drift is the same, and no lease outlives it, because grants come with lists only.

--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -135,8 +135,10 @@
 		unknownRuns bool
 		// remainingTime is the reported minimum time that a draining VM keeps running. Nothing reads it.
 		remainingTime time.Duration
-		// lastReportAt is when the last report arrived, or the zero time if none has arrived in this epoch.
+		// lastReportAt is when the last report arrived, or the zero time if none has arrived in this epoch. lastListedAt is the same for the last one that
+		// listed the runs, or said that no endpoint listens.
 		lastReportAt time.Time
+		lastListedAt time.Time
 		// runs holds the runs that the VM has or may have, by the names of their tasks.
 		runs map[string]*run
 		// processedSequence is the sequence number of the last run result that was processed. recordedSequence is the highest number up to
--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -301,4 +301,24 @@
 			Expect(runs).To(HaveKey(fmt.Sprint("gang.0.0.", n)))
 		}
 	})
+
+	// Guards against tasks that never start elsewhere while the agent of their VM goes on reporting without a list of its runs: the endpoint answers no
+	// list request, or the agent process was restarted and has not got its first list.
+	for name, restarted := range map[string]bool{"the same agent process": false, "a new agent process": true} {
+		It("starts elsewhere although "+name+" reports without a list for a long time", func() {
+			cluster := newTestCluster(2)
+			cluster.simulate(time.Second)
+			submitJob(cluster, job.Job{ID: "a", Occurrences: 1, Steps: []job.Step{{TaskCount: 1, Size: taskSize(1000)}}})
+			cluster.simulate(time.Second)
+			a := cluster.agentWith("a.0.0.0")
+			if a.runsUnlisted = true; restarted {
+				a.restart("h")
+			}
+			leases := 2*time.Second + 3*time.Second + 500*time.Millisecond
+			cluster.simulate(leases - 500*time.Millisecond)
+			Expect(cluster.countRuns()["a.0.0.0"]).To(Equal(1), "the leases have not expired for certain")
+			cluster.simulate(1500 * time.Millisecond)
+			Expect(cluster.countRuns()["a.0.0.0"]).To(Equal(2))
+		})
+	}
 })
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -102,6 +102,10 @@
 			// An earlier owner may have let the agent renew its leases for the time Contact after this epoch began.
 			lastContact, maxSilence = s.takenOverAt, maxSilence+c.Leases.Contact
 		}
+		if len(v.runs) > 0 && !v.lastReportAt.IsZero() && !v.runsListed && v.reportedState != messenger.VMNotListening {
+			// Reports without a list of the runs renew no leases.
+			lastContact = v.lastListedAt
+		}
 		if v.identifiedAt.After(lastContact) {
 			lastContact = v.identifiedAt
 		}
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -62,8 +62,9 @@
 	c.updatePaces(v, now)
 	c.runsChanged(v)
 	response.RecordedSequence = v.recordedSequenceFor(r.Incarnation)
-	// Before the VM's runs are known, a grant could let them go on beyond the time after which their tasks start elsewhere.
-	response.Granted = granted && (r.Listed && !r.UnknownRuns || s.runsKnown)
+	// Before the VM's runs are known, a grant could let them go on beyond the time after which their tasks start elsewhere. An agent renews no lease before
+	// it has a list, and the time after which its VM counts as lost begins with the last report that has one.
+	response.Granted = granted && r.Listed && (!r.UnknownRuns || s.runsKnown)
 	c.wakePlanner()
 	return response
 }
@@ -129,6 +130,9 @@
 			Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
 	}
 	v.reportSequence, v.reportSentMS, v.lastReportAt = r.Sequence, r.SentMS, now
+	if r.Listed || r.State == messenger.VMNotListening {
+		v.lastListedAt = now
+	}
 	v.reportedState, v.runsListed, v.unknownRuns, v.remainingTime = r.State, r.Listed, r.UnknownRuns, r.RemainingTime
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
