attendant: calls to the endpoint are repeated while they are overdue

Cause: the agent waited for each answer until a timeout before it called again. List requests were sent one at a time, 1.01 s apart, and a start twice, 350 ms apart. After that the outcome of the start was unknown until a list was answered, and the leases of all runs lapsed when no list was answered for 4 s.

Change: list requests, starts and stops are repeated each 60 ms while they are overdue. The copies of a start carry rising tokens, fixed before they are sent, and the token that decides is above all of them. Starts with an unknown outcome share one series of list requests.

Four cases of attendant_test.go simulated an unanswered start by withholding the answers to two copies, since the agent sent two. They now withhold those to all copies, and one also checks that copies were delayed. What they assert is unchanged.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -86,6 +86,7 @@
 	if a.reportRequests == nil {
 		a.startedAt, a.generation = a.Clock.Now(), a.Generation
 		a.reportRequests, a.listRequests = make(chan struct{}, 1), make(chan struct{}, 1)
+		a.listEnded = make(chan struct{})
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
 		a.fencingToken, a.decisiveToken = 1, math.MaxUint64
 		a.Log.Info().Str("generation", a.Generation).Uint64("token", a.fencingToken).Msg("agent process begins to list runs")
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -17,7 +17,11 @@
 )
 
 var _ = Describe("Attendant", func() {
-	const task = "a.0.0.0"
+	const (
+		task = "a.0.0.0"
+		// allCopies is more than the copies of one start that the agent sends.
+		allCopies = 1000
+	)
 	var (
 		e *endpoint
 		o *reporter
@@ -170,7 +174,7 @@
 	// Guards against a start that counts as refused because the list lacks its run, although a row may hide it.
 	It("does not refuse a start without a response while a row may hide its run", func() {
 		e.mutex.Lock()
-		e.unnamedRuns, e.keepsRunning, e.responsesToDrop = true, true, 2
+		e.unnamedRuns, e.keepsRunning, e.responsesToDrop = true, true, allCopies
 		e.mutex.Unlock()
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartUnknown))
 	})
@@ -245,8 +249,9 @@
 	// If the endpoint doesn't respond to a start, the start may be delayed rather than lost. Guards against a start that is reported as
 	// refused although it takes effect seconds later.
 	It("reports a start as refused only after the endpoint can no longer execute it", func() {
-		e.startsToDelay = 2
+		e.startsToDelay = allCopies
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartRefused))
+		Expect(e.delayedStarts).ToNot(BeEmpty())
 		Expect(e.executeDelayedStarts()).To(BeZero())
 	})
 
@@ -267,7 +272,7 @@
 		e.mutex.Unlock()
 		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listComposed }).WithTimeout(2 * time.Second).Should(BeTrue())
 		e.mutex.Lock()
-		e.responsesToDrop, e.keepsRunning = 2, true
+		e.responsesToDrop, e.keepsRunning = allCopies, true
 		e.mutex.Unlock()
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
 		Eventually(func() int { return len(o.report().Runs) }).Should(Equal(1))
@@ -280,7 +285,7 @@
 
 	// Guards against reporting a repeated order as refused although the first copy of the order may still take effect.
 	It("reports an unknown outcome of a start while an earlier copy of the order waits for its response", func() {
-		e.startsToDelay = 2
+		e.startsToDelay = allCopies
 		e.mutex.Lock()
 		e.startRelease = make(chan struct{})
 		e.mutex.Unlock()
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -33,7 +33,7 @@
 type (
 	// Endpoint is a client of the process that runs tasks on this VM.
 	Endpoint interface {
-		// List returns the runs of the endpoint and the results of ended runs. It also renews leases if the query requests that.
+		// All calls must end soon after ctx is done. List returns the runs of the endpoint and the results of ended runs. It also renews leases if the query requests that.
 		List(ctx context.Context, q ListQuery) (Listing, error)
 		// Start starts a run, Stop stops one, and Pace limits the rate of one.
 		Start(ctx context.Context, s StartCall) error
@@ -194,6 +194,10 @@
 		lastAppliedRequestAt time.Time
 		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
 		lastStartEndedAt time.Time
+		// startsInProgress is the number of starts of which copies are being sent.
+		startsInProgress int
+		// listEnded is closed, and replaced, when a list request has ended.
+		listEnded chan struct{}
 		// incarnation is the start time of the current endpoint process in Unix milliseconds, or 0 before its first response.
 		incarnation int64
 		// listed reports whether runs and pendingResults contain what the current endpoint process has listed in response to a list request with
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// endpointCallTimeout bounds one call to the endpoint. It is short because the endpoint runs on the same VM.
+	// endpointCallTimeout bounds the calls for one stop or pace. It is short because the endpoint runs on the same VM.
 	endpointCallTimeout = 350 * time.Millisecond
-	// maxStartAttempts is the number of times that a start is sent, without success, before a list request determines whether the run exists.
-	maxStartAttempts = 2
+	// startTimeout bounds the calls for one start, and unknownStartTimeout the wait for a listing that shows whether a start without an answer
+	// took effect. Together they are shorter than the time for which the owner waits for the response to its orders.
+	startTimeout        = 500 * time.Millisecond
+	unknownStartTimeout = 400 * time.Millisecond
 )
 
 // Reasons for rejecting orders or refusing starts. ReasonEndpointRefused and ReasonNotRunning are reserved: the agent never returns them.
@@ -111,27 +113,20 @@
 		outcome.Outcome, outcome.Reason = immediateOutcome, reason
 		return outcome
 	}
-	var err error
-	earlierAttemptsFenced := true
-	for range maxStartAttempts {
-		if err = a.sendStart(ctx, x, s); err == nil || isFinalRejection(err) {
-			break
-		}
-		earlierAttemptsFenced = earlierAttemptsFenced && errors.Is(err, ErrFenced)
-	}
+	unanswered, err := a.sendStarts(ctx, x, s)
 	a.mutex.Lock()
-	x.startUnanswered = !earlierAttemptsFenced
+	x.startUnanswered = unanswered
 	switch {
 	case err == nil:
 		x.phase, x.confirmedAt = phaseRunning, a.Clock.Now()
 		outcome.Outcome = messenger.StartDone
-	case isFinalRejection(err) && earlierAttemptsFenced:
-		// The start counts as refused only if the earlier attempts certainly had no effect. An attempt without a response may have
-		// started the run, and the endpoint then rejects the repeat.
+	case isFinalRejection(err) && !unanswered:
+		// The start counts as refused only if the other copies certainly had no effect. A copy without a response may have started the
+		// run, and the endpoint then rejects the others.
 		a.removeRun(x)
 		outcome.Reason = err.Error()
 	default:
-		// The next list request carries a higher fencing token than all attempts, which keeps the endpoint from executing them later. Its
+		// The next list request carries a higher fencing token than all copies, which keeps the endpoint from executing them later. Its
 		// response therefore shows whether the run exists.
 		x.phase, x.decisiveToken = phaseUnknown, a.fencingToken
 		a.Log.Warn().Err(err).Str("task", s.Task).Int("run", s.Number).Uint64("token", a.fencingToken).Msg("outcome of the start is unknown")
@@ -212,43 +207,115 @@
 	}
 }
 
-// sendStart sends the start of the run x to the endpoint once. Without sending it, it returns ErrRefused if the agent has no grant to renew
-// leases, and ErrOtherIncarnation if the endpoint process for which the run was ordered has been replaced.
-func (a *Attendant) sendStart(ctx context.Context, x *run, s messenger.Start) error {
-	a.mutex.Lock()
-	if a.runs[s.Task] != x || a.heartbeat.Incarnation != a.incarnation || a.heartbeat.EndpointID == "" {
-		a.mutex.Unlock()
-		return ErrOtherIncarnation
+// sendStarts sends copies of the start of the run x to the endpoint, one each repeatInterval, until one of them is answered or startTimeout is over.
+// Each copy carries a higher fencing token than the copies before that were not answered. All of them have the same run number, so the endpoint
+// executes one at most. It returns the decisive response, or an error without a response. unanswered reports whether another copy, or all of them, may
+// have taken effect. All later calls then carry a higher token than the copies.
+func (a *Attendant) sendStarts(ctx context.Context, x *run, s messenger.Start) (unanswered bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	type response struct {
+		token uint64
+		err   error
 	}
-	now := a.Clock.Now()
-	c := StartCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, DeadlineMS: a.leaseDeadlineMS(now), Start: s}
-	granted := now.Before(a.grantedUntil)
+	// The responses to copies that are still in progress at the end are not read.
+	responses := make(chan response, startTimeout/repeatInterval+2)
+	ticker := time.NewTicker(repeatInterval)
+	defer ticker.Stop()
+	pending, repeatedAtOnce := 0, false
+	var lastToken uint64
+	a.mutex.Lock()
+	a.startsInProgress++
 	a.mutex.Unlock()
-	if !granted {
-		return ErrRefused
+	defer func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.startsInProgress--
+		a.lastStartEndedAt = a.Clock.Now()
+		if unanswered && a.fencingToken == lastToken {
+			a.raiseToken()
+		}
+	}()
+	for copies := 0; ; copies++ {
+		if copies < cap(responses) {
+			c, listed, err := a.composeStart(x, s, lastToken)
+			if err != nil || listed {
+				return unanswered || pending > 0, err
+			}
+			lastToken = c.FencingToken
+			pending++
+			go func() {
+				startedAt := a.Clock.Now()
+				err := a.Endpoint.Start(ctx, c)
+				a.Meter.Observe("start", a.Clock.Now().Sub(startedAt))
+				responses <- response{c.FencingToken, err}
+			}()
+		}
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return unanswered || pending > 0, ctx.Err()
+			case <-ticker.C:
+				waiting = false
+			case r := <-responses:
+				pending--
+				switch {
+				case r.err == nil || isFinalRejection(r.err):
+					return unanswered || pending > 0, r.err
+				case errors.Is(r.err, ErrFenced):
+					// Another call with a higher token has reached the endpoint. A copy with an even higher one may succeed at once.
+					if r.token == lastToken && !repeatedAtOnce {
+						waiting, repeatedAtOnce = false, true
+					}
+				default:
+					unanswered = true
+				}
+			}
+		}
 	}
-	callCtx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
-	defer cancel()
-	startedAt := a.Clock.Now()
-	err := a.Endpoint.Start(callCtx, c)
-	a.Meter.Observe("start", a.Clock.Now().Sub(startedAt))
+}
+
+// composeStart returns the next copy of the start of the run x. Its token is above lastToken, that of the copy before. listed reports that none is
+// needed because the endpoint has listed the run. The error is ErrRefused if the agent has no grant to renew leases, and ErrOtherIncarnation if the
+// endpoint process for which the run was ordered has been replaced.
+func (a *Attendant) composeStart(x *run, s messenger.Start, lastToken uint64) (c StartCall, listed bool, err error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.lastStartEndedAt = a.Clock.Now()
-	if err != nil && !isFinalRejection(err) && a.fencingToken == c.FencingToken {
-		// Either another call with a higher token has reached the endpoint in the meantime, or this call may be executed later. All later calls
-		// get a higher token. Then the endpoint process, or the next one, does not execute this call any more after it has received one of them.
+	if a.runs[s.Task] != x || a.heartbeat.Incarnation != a.incarnation || a.heartbeat.EndpointID == "" {
+		return c, false, ErrOtherIncarnation
+	}
+	if x.phase == phaseRunning {
+		return c, true, nil
+	}
+	now := a.Clock.Now()
+	if !now.Before(a.grantedUntil) {
+		return c, false, ErrRefused
+	}
+	if a.fencingToken == lastToken {
+		// Either another call with a higher token has reached the endpoint in the meantime, or the copy before may be executed later. All later calls
+		// get a higher token. Then the endpoint process, or the next one, does not execute that copy any more after it has received one of them.
 		a.raiseToken()
 	}
-	return err
+	return StartCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, DeadlineMS: a.leaseDeadlineMS(now), Start: s}, false, nil
 }
 
-// resolveUnknownStart sends a list request to the endpoint and determines from the response whether a start took effect. It returns the
-// parameter outcome with the fields Outcome and Reason set. Outcome may still be StartUnknown.
+// resolveUnknownStart waits for a listing that shows whether a start took effect. It returns the parameter outcome with the fields Outcome and Reason
+// set. Outcome is still StartUnknown if no such listing has arrived after unknownStartTimeout or the endpoint refuses connections.
 func (a *Attendant) resolveUnknownStart(ctx context.Context, x *run, outcome messenger.StartOutcome) messenger.StartOutcome {
-	a.list(ctx, 0)
+	ctx, cancel := context.WithTimeout(ctx, unknownStartTimeout)
+	defer cancel()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.requestList()
+	for a.runs[x.Task] == x && x.phase == phaseUnknown && a.refusedConnections == 0 && ctx.Err() == nil {
+		ended := a.listEnded
+		a.mutex.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		}
+		a.mutex.Lock()
+	}
 	outcome.Outcome, outcome.Reason = messenger.StartUnknown, "no-answer"
 	for _, r := range a.pendingResults {
 		if r.Task == x.Task && r.Number == x.Number {
@@ -270,12 +337,17 @@
 func (a *Attendant) stop(ctx context.Context, o messenger.Orders, s messenger.Stop) bool {
 	a.mutex.Lock()
 	endpointKnown := a.incarnation == o.Incarnation && a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != ""
-	c := StopCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, Stop: s}
 	a.highestStopped[s.Task] = max(a.highestStopped[s.Task], s.Number)
 	a.mutex.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
 	defer cancel()
-	err := a.Endpoint.Stop(callCtx, c)
+	err := callUntilAnswered(ctx, func() error {
+		a.mutex.Lock()
+		c := StopCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, Stop: s}
+		endpointKnown = endpointKnown && a.heartbeat.Incarnation == o.Incarnation
+		a.mutex.Unlock()
+		return a.Endpoint.Stop(ctx, c)
+	})
 	a.Log.Info().Str("task", s.Task).Int("run", s.Number).Err(err).Msg("stop call to the endpoint has ended (successfully unless an error is given)")
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -6,6 +6,8 @@
 	"math"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bamboohook/internal/fleet/sleeper"
 )
 
@@ -37,14 +39,17 @@
 	maxClockSlownessPercent = 2
 )
 
-// listLoop sends list requests to the endpoint, one at a time, until ctx is done.
+// errUnanswered reports that a list request has reached its timeout.
+var errUnanswered = eris.New("attendant: no answer to a list request")
+
+// listLoop sends list requests to the endpoint until ctx is done. It sends the next one when the previous one has been answered or is overdue.
 func (a *Attendant) listLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		switch {
 		case a.tokenRejected():
 			// The owner will give this process a higher one.
 			sleeper.Sleep(ctx, unlistedPause)
-		case !a.list(ctx, a.listWait()):
+		case !a.listUntilAnswered(ctx, a.listWait()):
 			sleeper.Sleep(ctx, listRetryPause)
 		case !a.hasListed():
 			sleeper.Sleep(ctx, unlistedPause)
@@ -62,7 +67,7 @@
 		case <-ctx.Done():
 			return
 		case <-a.listRequests:
-			a.list(ctx, 0)
+			a.listUntilAnswered(ctx, 0)
 		}
 	}
 }
@@ -102,9 +107,42 @@
 	return busyListWait
 }
 
-// list sends one list request, which renews the leases if the agent has a grant, and applies the response. It reports whether the request
-// succeeded.
-func (a *Attendant) list(ctx context.Context, wait time.Duration) bool {
+// listUntilAnswered sends a list request. While it is overdue, which is repeatInterval after the permitted delay of the response, it sends another one
+// each repeatInterval, until one of them is answered or has failed. The endpoint answers the further ones without a delay. As each request has a
+// timeout, at most a few more than listTimeoutMargin/repeatInterval are in progress. It reports whether a request succeeded.
+func (a *Attendant) listUntilAnswered(ctx context.Context, wait time.Duration) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	errs := make(chan error)
+	send := func(wait time.Duration) {
+		go func() {
+			err := a.list(ctx, wait)
+			select {
+			case errs <- err:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	timer := time.NewTimer(wait + repeatInterval)
+	defer timer.Stop()
+	send(wait)
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case err := <-errs:
+			if !errors.Is(err, errUnanswered) {
+				return err == nil
+			}
+		case <-timer.C:
+			send(0)
+			timer.Reset(repeatInterval)
+		}
+	}
+}
+
+// list sends one list request, which renews the leases if the agent has a grant, and applies the response. After its timeout it returns errUnanswered.
+func (a *Attendant) list(ctx context.Context, wait time.Duration) error {
 	a.mutex.Lock()
 	sentAt := a.Clock.Now()
 	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait}
@@ -125,20 +163,37 @@
 	listing, err := a.Endpoint.List(callCtx, q)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if err != nil && ctx.Err() != nil {
+		// Another request has been answered, or the agent ends.
+		return err
+	}
+	defer a.notifyListEnded()
 	if err != nil {
 		a.handleListError(err, q)
-		return false
+		if callCtx.Err() != nil {
+			return errUnanswered
+		}
+		return err
 	}
 	if a.refusedConnections >= maxRefusedConnections {
 		a.Log.Info().Int64("life", listing.Incarnation).Msg("endpoint is reachable again")
 	}
 	a.refusedConnections = 0
 	a.applyListing(listing, q, sentAt)
-	return true
+	return nil
+}
+
+// notifyListEnded wakes those who wait for the end of a list request. The caller holds the mutex.
+func (a *Attendant) notifyListEnded() {
+	close(a.listEnded)
+	a.listEnded = make(chan struct{})
 }
 
 // isStarting reports whether a call to start a run is in progress. The caller holds the mutex.
 func (a *Attendant) isStarting() bool {
+	if a.startsInProgress > 0 {
+		return true
+	}
 	for _, x := range a.runs {
 		if x.phase == phaseStarting {
 			return true
