attendant: unanswered paces are repeated, and their late copies are fenced

What callers saw: with 70 of 100 calls unanswered, most paces were not set in time, and one that was carried out seconds late could replace a newer one.

Cause: the agent sent a pace once, and later calls carried the same fencing token, so the endpoint accepted a late copy. Found by reading; shown by the test.

If a copy is unanswered, the agent raises its token, so that the endpoint refuses late copies after a later call.

Test: "repeats an unanswered pace, and keeps its late copy from replacing a later pace"; it fails on (pace 0 instead of 50). The fake endpoint now checks the tokens of paces.

--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -597,6 +597,27 @@
 			ShouldNot(BeZero())
 	})
 
+	// Guards against a pace that is not set because one call gets no answer, and against one that is replaced by a late copy of an earlier one.
+	It("repeats an unanswered pace, and keeps its late copy from replacing a later pace", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		pace := func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return e.paces[task] }
+		e.mutex.Lock()
+		e.pacesToDelay = 1
+		e.mutex.Unlock()
+		m := orders()
+		m.Paces = []messenger.Pace{{Task: task, Number: 1, Percent: 50}}
+		a.HandleOrders(ctx, m)
+		Expect(pace()).To(Equal(50))
+		m.Paces[0].Percent = 80
+		a.HandleOrders(ctx, m)
+		Expect(pace()).To(Equal(80))
+		e.mutex.Lock()
+		Expect(e.delayedPaces).To(HaveLen(1))
+		Expect(e.executePace(e.delayedPaces[0])).To(MatchError(attendant.ErrFenced))
+		e.mutex.Unlock()
+		Expect(pace()).To(Equal(80))
+	})
+
 	It("reports to the owner of a higher epoch after that owner has sent orders", func() {
 		Expect(a.HandleOrders(ctx, messenger.Orders{Epoch: 9, Owner: "next"}).Accepted).To(BeFalse())
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Reason).To(Equal(attendant.ReasonOlderEpoch))
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -51,13 +51,17 @@
 	// and have no effect.
 	unnamedRuns bool
 	stopsFail   bool
+	// pacesToDelay is the number of the next pace calls that get no answer and are added to delayedPaces. paces contains the last pace of each task.
+	pacesToDelay int
+	delayedPaces []attendant.PaceCall
+	paces        map[string]int
 	// queries contains the list requests that the endpoint has accepted, and started the tasks of all executed starts.
 	queries []attendant.ListQuery
 	started []string
 }
 
 func newEndpoint() *endpoint {
-	return &endpoint{incarnation: 100, runs: map[string]messenger.Run{}, highestNumbers: map[string]int{}, nextSequence: 1}
+	return &endpoint{incarnation: 100, runs: map[string]messenger.Run{}, highestNumbers: map[string]int{}, nextSequence: 1, paces: map[string]int{}}
 }
 
 func (e *endpoint) List(ctx context.Context, q attendant.ListQuery) (attendant.Listing, error) {
@@ -157,7 +161,28 @@
 	return nil
 }
 
-func (e *endpoint) Pace(context.Context, attendant.PaceCall) error { return nil }
+func (e *endpoint) Pace(ctx context.Context, p attendant.PaceCall) error {
+	e.mutex.Lock()
+	if e.pacesToDelay > 0 {
+		e.pacesToDelay--
+		e.delayedPaces = append(e.delayedPaces, p)
+		e.mutex.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	defer e.mutex.Unlock()
+	return e.executePace(p)
+}
+
+// executePace executes a pace call unless its fencing token forbids it. The caller holds the mutex.
+func (e *endpoint) executePace(p attendant.PaceCall) error {
+	if p.FencingToken < e.highestFencingToken {
+		return attendant.ErrFenced
+	}
+	e.highestFencingToken = p.FencingToken
+	e.paces[p.Task] = p.Percent
+	return nil
+}
 
 // finish ends the run of the task, if there is one, and adds its result. The caller holds the mutex.
 func (e *endpoint) finish(task, outcome string) {
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -360,14 +360,31 @@
 	return true
 }
 
-// setPace asks the endpoint to limit a run to a percentage of its full rate. It only logs a failure.
+// setPace asks the endpoint to limit a run to a percentage of its full rate. It only logs a failure. If copies of the call are unanswered, all later
+// calls carry a higher fencing token, so that the endpoint does not execute these copies after a later pace.
 func (a *Attendant) setPace(ctx context.Context, p messenger.Pace) {
+	ctx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
+	defer cancel()
+	copies, lastToken := 0, uint64(0)
+	err := callUntilAnswered(ctx, func() error {
+		a.mutex.Lock()
+		if ctx.Err() != nil {
+			a.mutex.Unlock()
+			return ctx.Err()
+		}
+		c := PaceCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, Pace: p}
+		copies++
+		lastToken = c.FencingToken
+		a.mutex.Unlock()
+		return a.Endpoint.Pace(ctx, c)
+	})
+	cancel()
 	a.mutex.Lock()
-	c := PaceCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, Pace: p}
+	if (copies > 1 || err != nil) && a.fencingToken == lastToken {
+		a.raiseToken()
+	}
 	a.mutex.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
-	defer cancel()
-	if err := a.Endpoint.Pace(callCtx, c); err != nil {
+	if err != nil {
 		a.Log.Warn().Err(err).Str("task", p.Task).Int("percent", p.Percent).Msg("failed to set the pace of the run")
 	}
 }
