--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -37,14 +37,16 @@
 	counterBits = 12
 )
 
-// Run polls the endpoint for its runs and sends reports about them to the owner until ctx is done.
+// Run polls the endpoint for its runs and sends reports about them to the owner until ctx is done and its list requests have ended.
 func (a *Attendant) Run(ctx context.Context) error {
 	a.initialize()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { a.listLoop(ctx); return nil })
 	group.Go(func() error { a.requestedListLoop(ctx); return nil })
 	group.Go(func() error { a.reportLoop(ctx); return nil })
-	return group.Wait()
+	err := group.Wait()
+	a.listCalls.Wait()
+	return err
 }
 
 // HandleHeartbeat stores a heartbeat of the endpoint. It ignores heartbeats of an earlier endpoint process and those that arrive after a
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -196,6 +196,8 @@
 		lastStartEndedAt time.Time
 		// startsInProgress is the number of starts of which copies are being sent.
 		startsInProgress int
+		// listCalls are the list requests in progress.
+		listCalls sync.WaitGroup
 		// listEnded is closed, and replaced, when a list request has ended.
 		listEnded chan struct{}
 		// incarnation is the start time of the current endpoint process in Unix milliseconds, or 0 before its first response.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -115,13 +115,13 @@
 	defer cancel()
 	errs := make(chan error)
 	send := func(wait time.Duration) {
-		go func() {
+		a.listCalls.Go(func() {
 			err := a.list(ctx, wait)
 			select {
 			case errs <- err:
 			case <-ctx.Done():
 			}
-		}()
+		})
 	}
 	timer := time.NewTimer(wait + repeatInterval)
 	defer timer.Stop()
