--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -17,7 +17,11 @@
 )
 
 var _ = Describe("Attendant", func() {
-	const task = "a.0.0.0"
+	const (
+		task = "a.0.0.0"
+		// allCopies is more than the copies of one start that the agent sends.
+		allCopies = 1000
+	)
 	var (
 		e *endpoint
 		o *reporter
@@ -170,7 +174,7 @@
 	// Guards against a start that counts as refused because the list lacks its run, although a row may hide it.
 	It("does not refuse a start without a response while a row may hide its run", func() {
 		e.mutex.Lock()
-		e.unnamedRuns, e.keepsRunning, e.responsesToDrop = true, true, 2
+		e.unnamedRuns, e.keepsRunning, e.responsesToDrop = true, true, allCopies
 		e.mutex.Unlock()
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartUnknown))
 	})
@@ -245,8 +249,9 @@
 	// If the endpoint doesn't respond to a start, the start may be delayed rather than lost. Guards against a start that is reported as
 	// refused although it takes effect seconds later.
 	It("reports a start as refused only after the endpoint can no longer execute it", func() {
-		e.startsToDelay = 2
+		e.startsToDelay = allCopies
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartRefused))
+		Expect(e.delayedStarts).ToNot(BeEmpty())
 		Expect(e.executeDelayedStarts()).To(BeZero())
 	})
 
@@ -267,7 +272,7 @@
 		e.mutex.Unlock()
 		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listComposed }).WithTimeout(2 * time.Second).Should(BeTrue())
 		e.mutex.Lock()
-		e.responsesToDrop, e.keepsRunning = 2, true
+		e.responsesToDrop, e.keepsRunning = allCopies, true
 		e.mutex.Unlock()
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
 		Eventually(func() int { return len(o.report().Runs) }).Should(Equal(1))
@@ -280,7 +285,7 @@
 
 	// Guards against reporting a repeated order as refused although the first copy of the order may still take effect.
 	It("reports an unknown outcome of a start while an earlier copy of the order waits for its response", func() {
-		e.startsToDelay = 2
+		e.startsToDelay = allCopies
 		e.mutex.Lock()
 		e.startRelease = make(chan struct{})
 		e.mutex.Unlock()
@@ -592,6 +597,27 @@
 			ShouldNot(BeZero())
 	})
 
+	// Guards against a pace that is not set because one call gets no answer, and against one that is replaced by a late copy of an earlier one.
+	It("repeats an unanswered pace, and keeps its late copy from replacing a later pace", func() {
+		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+		pace := func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return e.paces[task] }
+		e.mutex.Lock()
+		e.pacesToDelay = 1
+		e.mutex.Unlock()
+		m := orders()
+		m.Paces = []messenger.Pace{{Task: task, Number: 1, Percent: 50}}
+		a.HandleOrders(ctx, m)
+		Expect(pace()).To(Equal(50))
+		m.Paces[0].Percent = 80
+		a.HandleOrders(ctx, m)
+		Expect(pace()).To(Equal(80))
+		e.mutex.Lock()
+		Expect(e.delayedPaces).To(HaveLen(1))
+		Expect(e.executePace(e.delayedPaces[0])).To(MatchError(attendant.ErrFenced))
+		e.mutex.Unlock()
+		Expect(pace()).To(Equal(80))
+	})
+
 	It("reports to the owner of a higher epoch after that owner has sent orders", func() {
 		Expect(a.HandleOrders(ctx, messenger.Orders{Epoch: 9, Owner: "next"}).Accepted).To(BeFalse())
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Reason).To(Equal(attendant.ReasonOlderEpoch))
