attendant: the test of a heartbeat of another endpoint process does not depend on when it arrives

The test assumed that the heartbeat arrives within 60 ms of the first copy of a start: a copy that was sent before the heartbeat was executed after it, which the test took for a repeat. It now withholds the answers to all copies, counts the calls after the heartbeat, of which one may have been on its way, and checks that none names the other process. Without the check of the process in composeStart it fails, as before.

--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -439,19 +439,26 @@
 	It("does not repeat a start after a heartbeat of another endpoint process", func() {
 		e.mutex.Lock()
 		release := make(chan struct{})
-		e.startRelease, e.startsToDelay = release, 1
+		e.startRelease, e.startsToDelay = release, allCopies
 		incarnation := e.incarnation + 50
 		e.mutex.Unlock()
 		outcome := make(chan string, 1)
 		m := orders(start(task, 1))
 		go func() { outcome <- a.HandleOrders(ctx, m).Starts[0].Outcome }()
-		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.startBlocked }).Should(BeTrue())
+		countCalls := func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return e.startCalls }
+		Eventually(countCalls).Should(BeNumerically(">", 0))
 		a.HandleHeartbeat(attendant.Heartbeat{EndpointID: "e2", Incarnation: incarnation, Sequence: 1, Service: "s"})
+		callsBefore := countCalls()
+		// One copy may have been on its way when the heartbeat arrived.
+		Consistently(countCalls).WithTimeout(300 * time.Millisecond).Should(BeNumerically("<=", callsBefore+1))
 		close(release)
 		Eventually(outcome).WithTimeout(3 * time.Second).Should(Receive(Not(Equal(messenger.StartDone))))
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
 		Expect(e.started).To(BeEmpty())
+		for _, s := range e.delayedStarts {
+			Expect(s.EndpointID).NotTo(Equal("e2"))
+		}
 	})
 
 	It("reports no runs after the endpoint process was replaced", func() {
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -41,6 +41,8 @@
 	// startRelease, unless nil, is a channel that delays starts until the test closes it. startBlocked reports that a start is delayed.
 	startRelease chan struct{}
 	startBlocked bool
+	// startCalls is the number of start calls, executed or not.
+	startCalls int
 	notListening bool
 	// resultsMissing is ResultsMissing of the listings.
 	resultsMissing bool
@@ -111,6 +113,7 @@
 func (e *endpoint) Start(_ context.Context, s attendant.StartCall) error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.startCalls++
 	if release := e.startRelease; release != nil {
 		e.startBlocked = true
 		e.mutex.Unlock()
