coordinator: a job is shown as running only after its start is recorded

Callers saw a job as queued after they had seen it as running.

Cause: the owner showed "running" as soon as an agent had confirmed a start, but the store got the first record of the job's progress only with the first result of a run. A new owner restores what the store has. Until the agents reported their runs, it showed "queued".

The tasks of job abc052 start at 07:34:03.151, the job is shown as running. The owner is killed. Entry 2 owns the jobs from 07:34:08.114, answers "queued" at 07:34:08.120, and processes the first reports with the ends of these runs at 07:34:08.124.

Change: the visible state becomes "running" when that is recorded. A request for the state of a job whose start is not recorded requests the record and waits for it, at most 500 ms (an append that takes longer makes the store count as degraded) and at most half of the time until the deadline of the request. While the store fails, the answer is "queued" at once: until the store takes the record, callers see a started job as queued. Starts do not wait for the record, and a job whose state nobody asks for before its first result causes no write. To record each start would cost one record for each job.

Tests: the four new ones in takeover_test.go fail without the change.

--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -14,9 +14,15 @@
 // State returns the current state of the job, which may not be recorded in the store yet.
 func (j *Job) State() string { return j.state }
 
-// VisibleState returns the state that callers may see. The end of a job becomes visible once it is recorded in the store.
+// VisibleState returns the state that callers may see. The start and the end of a job become visible once they are recorded in the store, so that no
+// later owner shows an earlier state.
 func (j *Job) VisibleState() string { return j.visibleState }
 
+// HasUnrecordedStart reports whether the job is running, but callers see it as queued because its start is not recorded.
+func (j *Job) HasUnrecordedStart() bool {
+	return j.state == StateRunning && j.visibleState == StateQueued
+}
+
 // SetVisibleState makes a recorded state visible to callers. It ignores StateQueued, because the job may have started since the state was
 // written.
 func (j *Job) SetVisibleState(state string) {
--- a/internal/batch/bookkeeper/bookkeeper.go
+++ b/internal/batch/bookkeeper/bookkeeper.go
@@ -50,7 +50,7 @@
 		started bool
 		state   string
 		endedAt time.Time
-		// visibleState is the state that callers may see. The end of a job becomes visible once it is recorded in the store.
+		// visibleState is the state that callers may see. The start and the end of a job become visible once they are recorded in the store.
 		visibleState string
 		recorded     recordedProgress
 	}
@@ -276,15 +276,12 @@
 	b.JobStarted(t.Step.Job)
 }
 
-// JobStarted records that a run of one of the job's tasks exists or has existed.
+// JobStarted records that a run of one of the job's tasks exists or has existed. Callers see that once it is recorded.
 func (*Bookkeeper) JobStarted(j *Job) {
 	j.started = true
 	if j.state == StateQueued {
 		j.state = StateRunning
 	}
-	if j.visibleState == StateQueued {
-		j.visibleState = StateRunning
-	}
 }
 
 // TaskDone records that the task is done. If the step is a gang, all tasks of the step are then done. TaskDone returns false if the task was
--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/fleet/committer"
 	"bamboohook/internal/fleet/messenger"
@@ -17,6 +18,9 @@
 	// recordTimeout is how long a call waits until the store has recorded a submission or a cancellation. After that, the response is
 	// messenger.OutcomeUnknown, and the caller may try another entry.
 	recordTimeout = 1200 * time.Millisecond
+	// startRecordTimeout is how long a request for the state of a job waits until the store has recorded the start of the job. It is as long as an
+	// append may take before the journal counts the store as degraded.
+	startRecordTimeout = 500 * time.Millisecond
 	// storeRetryAfter is the time after which a caller may repeat a submission that was refused because the store fails. Outages of the store
 	// usually last several times longer than that, so earlier retries would rarely succeed.
 	storeRetryAfter = 1500 * time.Millisecond
@@ -175,18 +179,83 @@
 	return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: !errors.Is(err, storekeeper.ErrFenced)}
 }
 
-// JobState responds with the visible state of the job.
-func (c *Coordinator) JobState(_ context.Context, request messenger.JobRequest) messenger.JobResponse {
+// JobState responds with the visible state of the job. The start of a job is recorded when its state is first requested, because each write has a
+// price. JobState waits for that at most startRecordTimeout, and half of the time until the deadline of ctx. It does not wait while the store fails.
+func (c *Coordinator) JobState(ctx context.Context, request messenger.JobRequest) messenger.JobResponse {
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
+	j, response := c.findJob(request)
+	if j == nil || !j.HasUnrecordedStart() {
+		return response
+	}
+	recorded := c.recordStart(j)
+	c.state.mutex.Unlock()
+	if !c.Journal.Degraded() {
+		waitForRecord(ctx, recorded)
+	}
+	c.state.mutex.Lock()
+	_, response = c.findJob(request)
+	return response
+}
+
+// findJob returns the job and the response to a request for its state. The job is nil if it is unknown or if this entry is not the owner.
+func (c *Coordinator) findJob(request messenger.JobRequest) (*bookkeeper.Job, messenger.JobResponse) {
 	if !c.state.owning {
-		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
+		return nil, messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 	}
 	j := c.state.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
-		return c.missingJob()
+		return nil, c.missingJob()
+	}
+	return j, messenger.JobResponse{Outcome: messenger.OutcomeDone, State: j.VisibleState()}
+}
+
+// recordStart requests a record of the start of the job, unless one was requested before. It returns a channel that is closed once the record is
+// stored or has failed, or at the end of the ownership. After a failure, no other record is requested until that one is tried again.
+func (c *Coordinator) recordStart(j *bookkeeper.Job) <-chan struct{} {
+	s := &c.state
+	if p, ok := s.pendingStarts[j]; ok {
+		return p.done
+	}
+	p := &pendingStart{done: make(chan struct{})}
+	s.pendingStarts[j] = p
+	change := c.jobChanged(j)
+	change.waiters = append(change.waiters, func(err error) {
+		if s.pendingStarts[j] != p {
+			return
+		}
+		p.finish()
+		if err == nil {
+			delete(s.pendingStarts, j)
+			return
+		}
+		c.retryAfter(err, func() { delete(s.pendingStarts, j) })
+	})
+	c.Journal.Notify()
+	return p.done
+}
+
+// finish closes done unless that has happened before.
+func (p *pendingStart) finish() {
+	if !p.finished {
+		p.finished = true
+		close(p.done)
+	}
+}
+
+// waitForRecord waits until recorded is closed, within the time that JobState may wait.
+func waitForRecord(ctx context.Context, recorded <-chan struct{}) {
+	timeout := startRecordTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/2)
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-recorded:
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	return messenger.JobResponse{Outcome: messenger.OutcomeDone, State: j.VisibleState()}
 }
 
 // CountQueuedJobs responds with the number of accepted jobs of the queue that have not started. It leaves out jobs whose occurrences have a
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -71,6 +71,8 @@
 		tombstones map[jobKey]*tombstone
 		// pendingSubmissions holds the submissions that are not recorded yet, by the IDs of the jobs.
 		pendingSubmissions map[string]*pendingResponse
+		// pendingStarts holds the requested records of the starts of jobs.
+		pendingStarts map[*bookkeeper.Job]*pendingStart
 		// The next fields belong to the next writes to the store: the jobs whose progress has changed, in the order of their turns, their changes,
 		// and the keys of the records to remove.
 		changedJobs []*bookkeeper.Job
@@ -106,6 +108,12 @@
 		response messenger.JobResponse
 	}
 
+	// pendingStart is a requested record of the start of a job. done is closed once the record is stored or has failed; finished reports whether it is.
+	pendingStart struct {
+		done     chan struct{}
+		finished bool
+	}
+
 	// resultID identifies a run result by its VM, the incarnation of its endpoint process and the sequence number that the process gave it. The
 	// endpoint may forget the result once it is recorded.
 	resultID struct {
@@ -127,6 +135,7 @@
 	s.jobs.WaitingClock = c.Clock
 	s.vms, s.runs, s.restoredJobs = map[string]*vm{}, map[*bookkeeper.Task]*run{}, map[*bookkeeper.Job]struct{}{}
 	s.pendingSubmissions, s.changes = map[string]*pendingResponse{}, map[*bookkeeper.Job]*jobChange{}
+	s.pendingStarts = map[*bookkeeper.Job]*pendingStart{}
 	s.changedJobs, s.removedKeys, s.delayedRetries = nil, nil, nil
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
@@ -200,6 +209,10 @@
 		close(pending.done)
 		delete(s.pendingSubmissions, id)
 	}
+	for _, p := range s.pendingStarts {
+		p.finish()
+	}
+	clear(s.pendingStarts)
 }
 
 // Owning returns the epoch in which this entry last became the owner, and whether it still owns the jobs.
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -394,6 +394,13 @@
 	return response
 }
 
+// awaitState requests the state of the job with the ID while the journal stores the writes, and returns it.
+func (c *testCluster) awaitState(id string) string {
+	return c.await(func() messenger.JobResponse {
+		return c.coordinator.JobState(context.Background(), messenger.JobRequest{ID: id, Queue: "q"})
+	}).State
+}
+
 // submitJob submits a job and waits until it is accepted.
 func submitJob(c *testCluster, j job.Job) {
 	response := c.await(func() messenger.JobResponse {
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -142,6 +142,7 @@
 	}
 	delete(s.restoredJobs, j)
 	delete(s.predecessorsJobs, j)
+	delete(s.pendingStarts, j)
 	return true
 }
 
--- a/internal/batch/coordinator/record_test.go
+++ b/internal/batch/coordinator/record_test.go
@@ -114,6 +114,7 @@
 		submitJob(cluster, small("a"))
 		submitJob(cluster, small("b"))
 		cluster.simulate(time.Second)
+		Expect(cluster.awaitState("a")).To(Equal("running"))
 		cluster.finishAllRuns(messenger.RunDone)
 		for _, a := range cluster.agents {
 			cluster.sendReport(a)
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -100,6 +100,73 @@
 			}
 		})
 	}
+	// Guards against a job that is shown as queued after it was shown as running, because the owner that has seen its runs fails and the agents have
+	// not reported to the next one.
+	It("shows a job as running that the previous owner has shown as running", func() {
+		submit(twoStepJob)
+		cluster.simulate(200 * time.Millisecond)
+		Expect(cluster.countRuns()).To(HaveLen(2))
+		Expect(cluster.awaitState("a")).To(Equal("running"))
+		for _, a := range cluster.agents {
+			a.silent = true
+		}
+		cluster.takeOver()
+		Expect(cluster.awaitState("a")).To(Equal("running"))
+	})
+	// Guards against the same while the store fails: what cannot be recorded is not shown.
+	It("shows a job as queued while the start of the job cannot be recorded", func() {
+		submit(twoStepJob)
+		cluster.simulate(200 * time.Millisecond)
+		state := func(ctx context.Context) string {
+			return cluster.coordinator.JobState(ctx, messenger.JobRequest{ID: "a", Queue: "q"}).State
+		}
+		cluster.journal.blocked, cluster.journal.degraded = true, true
+		startedAt := time.Now()
+		Expect(state(context.Background())).To(Equal("queued"))
+		Expect(time.Since(startedAt)).To(BeNumerically("<", 400*time.Millisecond), "JobState must not wait for a store that fails")
+		cluster.journal.degraded = false
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		Expect(state(ctx)).To(Equal("queued"))
+		Expect(ctx.Err()).NotTo(HaveOccurred(), "JobState must leave time for its response")
+		for _, a := range cluster.agents {
+			a.silent = true
+		}
+		cluster.takeOver()
+		Expect(state(context.Background())).To(Equal("queued"))
+	})
+	// Guards against an outdated response of an owner that loses the ownership while it waits for the record.
+	It("does not show the state of a job after the end of the ownership", func() {
+		submit(twoStepJob)
+		cluster.simulate(200 * time.Millisecond)
+		responses := make(chan messenger.JobResponse, 1)
+		go func() {
+			responses <- cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: "a", Queue: "q"})
+		}()
+		Consistently(responses, "50ms").ShouldNot(Receive())
+		epoch, _ := cluster.coordinator.Owning()
+		cluster.coordinator.Resign(epoch, "test")
+		Eventually(responses, "200ms").Should(Receive(HaveField("Outcome", messenger.OutcomeNotOwner)))
+	})
+	// Guards against writes to the store that no caller needs.
+	It("records the start of a job once, and only if its state is requested", func() {
+		submit(twoStepJob)
+		cluster.simulate(time.Second)
+		records := func() (count int) {
+			for _, r := range cluster.journal.records {
+				if r.Key == "progress/a" {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(records()).To(BeZero())
+		for range 5 {
+			Expect(cluster.awaitState("a")).To(Equal("running"))
+			cluster.simulate(200 * time.Millisecond)
+		}
+		Expect(records()).To(Equal(1))
+	})
 	It("does not wait for a VM whose endpoint process ended before the takeover", func() {
 		cluster.agents["vm-2"].state = messenger.VMNotListening
 		cluster.simulate(400 * time.Millisecond)
