elector, coordinator: an owner shows no states after a pause until it knows that it still is the owner

Callers saw a job as running after they had seen it as completed.

Cause: an owner that goes on after a pause (a suspended machine, a stopped process) takes itself for the owner until it hears of the next epoch. Until then it answered requests for states from what it knew before the pause.

Evidence: tests/soak on: entry 1 notices at 07:37:58.351 that it was paused for 2.485 s, entry 2 owns the jobs since 07:37:57.463, entry 1 shows the completed job abc00b as running at 07:37:58.353 and resigns at 07:37:58.355.

Change: Elector.MayShowStates is false after a pause of more than 300 ms, and at the end of a claim, until the store has responded to a read or an append that was sent later, or until all other entries have told that they have no contact with the store. Shorter pauses make no other entry claim. The pause counts from the last check of the claim loop, so it also counts before that loop runs again. The owner's next read of the store does not wait for records then. The coordinator answers requests for states meanwhile as if it were not the owner, so the entry asks again. An unknown job is not called missing then either. The claim loop now measures a pause between two checks, which includes the check itself.

An owner that is cut off from the store and the other entries, but is not paused, shows states as before.

In takeover_test.go, the new test fails without the check in the coordinator. The simulated entries have a clock that can jump.

--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -198,11 +198,14 @@
 	return response
 }
 
-// findJob returns the job and the response to a request for its state. The job is nil if it is unknown or if this entry is not the owner.
+// findJob returns the job and the response to a request for its state. The job is nil if it is unknown or if this entry may not be the owner.
 func (c *Coordinator) findJob(request messenger.JobRequest) (*bookkeeper.Job, messenger.JobResponse) {
 	if !c.state.owning {
 		return nil, messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 	}
+	if !c.MayShowStates() {
+		return nil, messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, Reason: "another entry may have become the owner"}
+	}
 	j := c.state.jobs.Job(request.ID)
 	if j == nil || j.Queue != request.Queue {
 		return nil, c.missingJob()
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -83,7 +83,7 @@
 	o.coordinator = &coordinator.Coordinator{
 		Agents: o, Journal: o, Clock: simClock{}, WallClock: simClock{}, Leases: simLeases,
 		Limits: coordinator.Limits{Retention: simRetention, MissTolerance: maxMissTime, StopTimeout: maxStopTime}, MayGrantLeases: o.mayGrantLeases,
-		OwnedAt: o.ownedAt,
+		MayShowStates: o.mayGrantLeases, OwnedAt: o.ownedAt,
 	}
 	var records []storekeeper.Record
 	w.locked(func(w *simWorld) {
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -149,6 +149,8 @@
 	journal        *journal
 	agents         map[string]*agent
 	mayGrantLeases bool
+	// paused makes the owner show no states of jobs, like a process that was paused and has not heard from the store since.
+	paused bool
 	// timeSinceOwned is the time since this entry was certainly the owner.
 	timeSinceOwned       time.Duration
 	configurationVersion int64
@@ -191,7 +193,8 @@
 		Agents: c, Journal: c.journal, Clock: c.clock, WallClock: wallClock{c}, Log: zerolog.Nop(), Address: "entry",
 		Leases: coordinator.Leases{Grant: 2 * time.Second, Run: 3 * time.Second, Contact: time.Second, Drift: 500 * time.Millisecond},
 		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
-		OwnedAt: func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
+		MayShowStates: func() bool { return !c.paused },
+		OwnedAt:       func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
 		Spawn: func(do func()) {
 			if c.deferCalls {
 				c.deferredCalls = append(c.deferredCalls, do)
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -104,6 +104,9 @@
 		Address string
 		// MayGrantLeases reports whether agents may renew leases: it is true while no other entry can own the jobs.
 		MayGrantLeases func() bool
+		// MayShowStates reports whether callers may see the states of jobs. It is false after a pause of this process, in which another entry may have
+		// become the owner, until that is known.
+		MayShowStates func() bool
 		// OwnedAt returns the latest time at which certainly no other entry owned the jobs. A later owner renews leases, so the silence of a VM
 		// proves that its leases have expired only if no other entry owned the jobs until then.
 		OwnedAt func() time.Time
--- a/internal/batch/coordinator/takeover_test.go
+++ b/internal/batch/coordinator/takeover_test.go
@@ -148,6 +148,19 @@
 		cluster.coordinator.Resign(epoch, "test")
 		Eventually(responses, "200ms").Should(Receive(HaveField("Outcome", messenger.OutcomeNotOwner)))
 	})
+	// Guards against a job that is shown in an earlier state, or as unknown, by an owner that goes on after a pause and has not heard of its successor.
+	It("does not show the state of a job while another entry may have become the owner in a pause", func() {
+		submit(twoStepJob)
+		cluster.simulate(200 * time.Millisecond)
+		cluster.paused = true
+		for _, id := range []string{"a", "unknown"} {
+			response := cluster.coordinator.JobState(context.Background(), messenger.JobRequest{ID: id, Queue: "q"})
+			Expect(response.Outcome).To(Equal(messenger.OutcomeNotOwner), id)
+			Expect(response.MayHaveEffect).To(BeFalse())
+		}
+		cluster.paused = false
+		Expect(cluster.awaitState("a")).To(Equal("running"))
+	})
 	// Guards against writes to the store that no caller needs.
 	It("records the start of a job once, and only if its state is requested", func() {
 		submit(twoStepJob)
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -81,6 +81,7 @@
 			RequestBytes: settings.MaxRequestBytes,
 		},
 		MayGrantLeases: e.elector.MayGrantLeases,
+		MayShowStates:  e.elector.MayShowStates,
 		OwnedAt:        e.elector.OwnedAt,
 	}
 	if settings.AdviceAddress != "" {
--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -33,22 +33,42 @@
 // claimLoop claims the ownership whenever this entry should do so, until ctx is done.
 func (e *Elector) claimLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		startedAt := e.Clock.Now()
+		e.detectPause()
 		if e.shouldClaim() {
 			e.claim(ctx)
-			startedAt = e.Clock.Now()
+			e.recordClaimEnd()
 		}
 		sleeper.Sleep(ctx, claimCheckInterval)
-		if now := e.Clock.Now(); now.Sub(startedAt) > claimCheckInterval+pauseThreshold {
-			// After a pause, other entries seem to have been silent.
-			e.mutex.Lock()
-			e.resumedAt = now
-			e.mutex.Unlock()
-			e.Log.Warn().Dur("pause", now.Sub(startedAt)).Msg("this process was paused")
-		}
 	}
 }
 
+// detectPause records a pause of this process since the last check. After a pause, other entries seem to have been silent.
+func (e *Elector) detectPause() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.Clock.Now()
+	if e.isCheckLate(now) {
+		e.resumedAt, e.contactNeededAt = now, now
+		e.Log.Warn().Dur("pause", now.Sub(e.lastCheckAt)).Msg("this process was paused")
+	}
+	e.lastCheckAt = now
+}
+
+// recordClaimEnd records the end of a claim, which may take longer than pauseThreshold without a pause.
+func (e *Elector) recordClaimEnd() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.lastCheckAt = e.Clock.Now()
+	if e.isOwner && e.lastCheckAt.Sub(e.ownerSince) > pauseThreshold {
+		e.contactNeededAt = e.lastCheckAt
+	}
+}
+
+// isCheckLate reports whether claimLoop has not run for so long that this process is or was paused. The caller holds the mutex.
+func (e *Elector) isCheckLate(now time.Time) bool {
+	return !e.lastCheckAt.IsZero() && now.Sub(e.lastCheckAt) > claimCheckInterval+pauseThreshold
+}
+
 // shouldClaim reports whether this entry should claim the ownership now: the owner has failed, and the entries that should claim earlier
 // have had time to do so.
 func (e *Elector) shouldClaim() bool {
@@ -155,6 +175,7 @@
 	if won {
 		e.epoch, e.owner, e.isOwner, e.storeOffset = claim.Epoch, e.Address, true, offset
 		e.ownerSince, e.epochObservedAt, e.ownerContactAt = e.lastStoreContactAt, e.lastStoreContactAt, loadedAt
+		e.contactNeededAt = e.ownerSince
 		e.requestProbes()
 	} else {
 		e.Log.Info().Uint64("epoch", claim.Epoch).Uint64("newest", newest.Epoch).Str("owner", newest.Address).Msg("claim did not win the ownership")
@@ -176,7 +197,10 @@
 func (e *Elector) followStoreLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.mutex.Lock()
-		isOwner, offset := e.isOwner, e.storeOffset
+		isOwner, offset, wait := e.isOwner, e.storeOffset, followWait
+		if e.contactNeededAt.After(e.ownerContactAt) {
+			wait = 0
+		}
 		e.mutex.Unlock()
 		if !isOwner {
 			sleeper.Sleep(ctx, claimCheckInterval)
@@ -184,7 +208,7 @@
 		}
 		sentAt := e.Clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, followWait+followTimeoutMargin+e.CongestionTime)
-		records, next, err := e.Store.Follow(callCtx, offset, followWait)
+		records, next, err := e.Store.Follow(callCtx, offset, wait)
 		cancel()
 		if errors.Is(err, storekeeper.ErrDeleted) {
 			// The deleted records may have contained a claim, so the newest record of each key is loaded.
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -143,6 +143,11 @@
 		ownerSuspectedAt time.Time
 		// resumedAt is when this process last ran again after a pause. What it has not heard before then shows nothing about others.
 		resumedAt time.Time
+		// lastCheckAt is when claimLoop last ran.
+		lastCheckAt time.Time
+		// contactNeededAt is the end of the last pause of this process or of its last claim. Another entry may have become the owner before it, so the owner
+		// shows no states until the store has responded to a call that was sent later.
+		contactNeededAt time.Time
 		// lastClaimAt is when this process last claimed the ownership, and claimCount the number of its claims. unsettledClaims is the number of
 		// its claims since an owner last stayed for settledDuration.
 		lastClaimAt     time.Time
@@ -295,7 +300,20 @@
 	if !e.isOwner {
 		return false
 	}
-	return now.Sub(e.ownerContactAt) < e.StoreContactTimeout || e.othersDisconnected(now)
+	return now.Sub(e.ownerContactAt) < e.StoreContactTimeout || e.othersDisconnected(now.Add(-evidenceTimeout))
+}
+
+// MayShowStates reports whether this entry, as the owner, may show callers the states of jobs. It may not do so after a pause until the store has
+// shown that it still is the owner, or until the other entries have told that they cannot have claimed the ownership. A pause that is shorter than
+// pauseThreshold does not make other entries claim. An owner that is cut off but has not been paused goes on showing states.
+func (e *Elector) MayShowStates() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.Clock.Now()
+	if !e.isOwner || e.isCheckLate(now) {
+		return false
+	}
+	return !e.ownerContactAt.Before(e.contactNeededAt) || e.othersDisconnected(latest(e.contactNeededAt, now.Add(-evidenceTimeout)))
 }
 
 // OwnedAt returns the latest time at which certainly no other entry owned the jobs, or the zero time if this entry is not the owner.
@@ -305,22 +323,22 @@
 	if !e.isOwner {
 		return time.Time{}
 	}
-	if now := e.Clock.Now(); e.othersDisconnected(now) {
+	if now := e.Clock.Now(); e.othersDisconnected(now.Add(-evidenceTimeout)) {
 		return latest(e.ownerContactAt, now.Add(-e.StoreContactTimeout))
 	}
 	return e.ownerContactAt
 }
 
-// othersDisconnected reports whether every other entry that may run has told recently that it cannot have claimed the ownership, because it had no
-// contact with the store. A silent entry may have claimed it, also if it was down before and has started again since. So may an entry that refuses
-// connections, because a partition may refuse them in its place. Only entries that had been removed from the store's list while this one had contact
-// with the store don't count. The caller holds the mutex.
-func (e *Elector) othersDisconnected(now time.Time) bool {
+// othersDisconnected reports whether every other entry that may run has told in a response to a ping which was sent after the given time that it cannot
+// have claimed the ownership, because it had no contact with the store. A silent entry may have claimed it, also if it was down before and has started
+// again since. So may an entry that refuses connections, because a partition may refuse them in its place. Only entries that had been removed from the
+// store's list while this one had contact with the store don't count. The caller holds the mutex.
+func (e *Elector) othersDisconnected(after time.Time) bool {
 	for _, p := range e.peers {
 		if e.lastStoreContactAt.Sub(p.lastSignOfLife()) > forgottenTimeout {
 			continue
 		}
-		if now.Sub(p.answeredAt) >= evidenceTimeout || p.answer.StoreAge < maxStoreAge || p.answer.Epoch > e.epoch {
+		if !p.answeredAt.After(after) || p.answer.StoreAge < maxStoreAge || p.answer.Epoch > e.epoch {
 			return false
 		}
 	}
--- a/internal/fleet/elector/scale_test.go
+++ b/internal/fleet/elector/scale_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,12 +71,13 @@
 		sent, received  int
 		// composedAt is when the store composed the last response to a read of this entry that has arrived.
 		composedAt time.Time
+		// pausedTime is how long the process has been paused, in nanoseconds. Its goroutines run on during that, but see the time jump.
+		pausedTime atomic.Int64
 	}
-
-	virtualClock struct{}
 )
 
-func (virtualClock) Now() time.Time { return time.Now() }
+// Now returns the time as the process sees it.
+func (n *simNode) Now() time.Time { return time.Now().Add(time.Duration(n.pausedTime.Load())) }
 
 func newSimCluster(t *testing.T) *simCluster {
 	return &simCluster{
@@ -99,7 +101,7 @@
 	seeds = seeds[:min(len(seeds), simSeeds)]
 	e := &elector.Elector{
 		Address: n.address, Generation: fmt.Sprint(n.address, time.Now().UnixNano()), Weight: n.weight, Seeds: seeds, PeerClient: n, Store: n,
-		Clock: virtualClock{}, Log: zerolog.Nop(), StoreContactTimeout: 2 * time.Second, CongestionTime: n.congestionTime(), Random: c.randomNumber,
+		Clock: n, Log: zerolog.Nop(), StoreContactTimeout: 2 * time.Second, CongestionTime: n.congestionTime(), Random: c.randomNumber,
 	}
 	e.OnOwnershipGained = func(epoch uint64, _ []storekeeper.Record) {
 		c.mutex.Lock()
