KNOWN-RED, test.sh: the states of jobs in the soak are green, and are checked again

docs/proofs.md names what is left: an owner that was not paused shows what it knows until it hears of its successor.

--- a/test.sh
+++ b/test.sh
@@ -27,7 +27,7 @@
   go test -count=1 -timeout 8m "$@" ./tests/requests -ginkgo.skip='by road checks leaves the other kind of work its share$' || failed=1
 fi
 if echo "$packages" | grep -qx bamboohook/tests/soak; then
-  go test -count=1 -timeout 8m "$@" ./tests/soak -ginkgo.skip='are not shown in an earlier state by machines out of touch$' || failed=1
+  go test -count=1 -timeout 8m "$@" ./tests/soak || failed=1
 fi
 if echo "$packages" | grep -qx bamboohook/internal/owner; then
   # The randomized tests take minutes each with the race detector, so each runs by itself. These runs together contain all tests.
