--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -149,6 +149,8 @@
 	journal        *journal
 	agents         map[string]*agent
 	mayGrantLeases bool
+	// paused makes the owner show no states of jobs, like a process that was paused and has not heard from the store since.
+	paused bool
 	// timeSinceOwned is the time since this entry was certainly the owner.
 	timeSinceOwned       time.Duration
 	configurationVersion int64
@@ -191,7 +193,8 @@
 		Agents: c, Journal: c.journal, Clock: c.clock, WallClock: wallClock{c}, Log: zerolog.Nop(), Address: "entry",
 		Leases: coordinator.Leases{Grant: 2 * time.Second, Run: 3 * time.Second, Contact: time.Second, Drift: 500 * time.Millisecond},
 		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
-		OwnedAt: func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
+		MayShowStates: func() bool { return !c.paused },
+		OwnedAt:       func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
 		Spawn: func(do func()) {
 			if c.deferCalls {
 				c.deferredCalls = append(c.deferredCalls, do)
@@ -394,6 +397,13 @@
 	return response
 }
 
+// awaitState requests the state of the job with the ID while the journal stores the writes, and returns it.
+func (c *testCluster) awaitState(id string) string {
+	return c.await(func() messenger.JobResponse {
+		return c.coordinator.JobState(context.Background(), messenger.JobRequest{ID: id, Queue: "q"})
+	}).State
+}
+
 // submitJob submits a job and waits until it is accepted.
 func submitJob(c *testCluster, j job.Job) {
 	response := c.await(func() messenger.JobResponse {
