coordinator: tests of the limits do not wait for records of starts

JobState waits in real time until the start of a job is recorded, while the clock of these tests stands still. They poll the states of many jobs, so the package took 165 s. The expectations are the same; it takes 32 s now.

--- a/internal/batch/coordinator/limits_test.go
+++ b/internal/batch/coordinator/limits_test.go
@@ -60,7 +60,10 @@
 
 // state returns the visible state of a job.
 func (c *testCluster) state(id, queue string) string {
-	return c.coordinator.JobState(context.Background(), messenger.JobRequest{ID: id, Queue: queue}).State
+	// With such a context, JobState does not wait until the start of the job is recorded. That would take real time.
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return c.coordinator.JobState(ctx, messenger.JobRequest{ID: id, Queue: queue}).State
 }
 
 var _ = Describe("Accepted work beside a limit that holds on all VMs", func() {
--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -42,7 +42,7 @@
 	startRelease chan struct{}
 	startBlocked bool
 	// startCalls is the number of start calls, executed or not.
-	startCalls int
+	startCalls   int
 	notListening bool
 	// resultsMissing is ResultsMissing of the listings.
 	resultsMissing bool
