--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -19,8 +19,8 @@
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
 // has waited for StarvationTime. A task of a gang stands for the whole gang. So does, for each long-running step, a task that has waited for
 // longRunningWait. They come in the order of firstFrom, so that jobs whose runs fail again and again do not go before the others each time. Without
-// starving tasks, large tasks would wait without a bound in a full fleet, because
-// smaller ones with less remaining work go first and fill all that becomes free.
+// starving tasks, large tasks would wait without a bound in a full fleet, because smaller ones with less remaining work go first and fill all that
+// becomes free.
 func (d *Dispatcher) starvingTasks(now time.Time, steps []sortedStep) []*bookkeeper.Task {
 	longest := map[*bookkeeper.Job]*bookkeeper.Task{}
 	var starving []*bookkeeper.Task
@@ -70,9 +70,9 @@
 	return longest
 }
 
-// placeStarving places the starving tasks. If one that is long-running or has waited for StarvationTime fits nowhere now, the first such task holds a VM, or a gang as many as
-// it needs: in this plan, no task that could fill them starts there, so that the running ones leave room. Such a task does not start on a VM that refuses
-// starts while room on others can be kept for it, since other tasks would fill that room until the refusal.
+// placeStarving places the starving tasks. If one that is long-running or has waited for StarvationTime fits nowhere now, the first such task holds a VM,
+// or a gang as many as it needs: in this plan, no task that could fill them starts there, so that the running ones leave room. Such a task does not start
+// on a VM that refuses starts while room on others can be kept for it, since other tasks would fill that room until the refusal.
 func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
 	var placements []Placement
 	accepting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.StartsRefused })
