--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -140,6 +140,7 @@
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
 	s.inquirer = inquirer.Inquirer{}
+	s.dispatcher = dispatcher.Dispatcher{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
 	c.restoreTombstones(records)
 	stored := groupRecords(records)
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -248,12 +248,7 @@
 		return nil
 	}
 	vms, coordinatorVMs := c.dispatcherVMs(now)
-	s.dispatcher.Excludes = func(t *bookkeeper.Task, d *dispatcher.VM) bool {
-		return c.queueOf(t.Step.Job).Advised && s.inquirer.Ticket(stepName(t.Step), coordinatorVMs[d].endpoint(), now) == ""
-	}
-	s.dispatcher.Forbids = func(step *bookkeeper.Step, d *dispatcher.VM) bool {
-		return c.queueOf(step.Job).Advised && s.inquirer.Denied(stepName(step), coordinatorVMs[d].endpoint(), now)
-	}
+	c.setExclusions(coordinatorVMs, now)
 	gangNumbers := map[*bookkeeper.Step]int{}
 	for _, p := range s.dispatcher.Plan(now, c.WallClock.Now(), steps, queues, vms) {
 		number := p.Task.NextRunNumber()
@@ -268,6 +263,17 @@
 	return advisedSteps
 }
 
+// setExclusions makes the dispatcher leave out VMs for which a step of an advised queue has no ticket. coordinatorVMs contains all VMs that the dispatcher
+// gets.
+func (c *Coordinator) setExclusions(coordinatorVMs map[*dispatcher.VM]*vm, now time.Time) {
+	c.state.dispatcher.Excludes = func(t *bookkeeper.Task, d *dispatcher.VM) bool {
+		return c.queueOf(t.Step.Job).Advised && c.state.inquirer.Ticket(stepName(t.Step), coordinatorVMs[d].endpoint(), now) == ""
+	}
+	c.state.dispatcher.Forbids = func(step *bookkeeper.Step, d *dispatcher.VM) bool {
+		return c.queueOf(step.Job).Advised && c.state.inquirer.Denied(stepName(step), coordinatorVMs[d].endpoint(), now)
+	}
+}
+
 // dispatcherVMs updates for each VM whether tasks may start there, and returns all VMs for the dispatcher in the order of their names. The map
 // contains the coordinator's vm for each of them.
 func (c *Coordinator) dispatcherVMs(now time.Time) ([]*dispatcher.VM, map[*dispatcher.VM]*vm) {
