coordinator: a VM that refused a start is tried again by starving tasks after a while

Callers would see a job wait beside an empty VM.

Cause: after a refused start, starving tasks keep away from a VM while room on another VM can be kept for them, and only a later start there ended that. If the other VM's task lasts for hours and nobody else starts on the first one, that is without a bound.

Change: a refusal counts for the time after which a task is starving (15 s). A starving task then tries the VM again.

--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -152,6 +152,8 @@
 		unrecordedSequences map[int64]struct{}
 		pacer               pacer.Pacer
 		breaker             breaker.Breaker
+		// startsRefusedAt is when the agent last refused a start, or the zero time if a later start has succeeded.
+		startsRefusedAt time.Time
 		// unschedulableUntil is when tasks may start on the VM again after its agent has refused orders or a start.
 		unschedulableUntil time.Time
 		// mayHaveRuns reports whether the VM may have runs. The next owner must then wait for a report of the VM. recordStored reports whether
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -282,6 +282,8 @@
 	for _, v := range c.state.vms {
 		usable := c.usable(v, now)
 		v.Schedulable, v.SchedulableSoon, v.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
+		// The VM may accept starts again, so a starving task tries it again from time to time.
+		v.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
 		vms = append(vms, &v.VM)
 		coordinatorVMs[&v.VM] = v
 	}
@@ -384,7 +386,7 @@
 		switch outcome.Outcome {
 		case messenger.StartDone:
 			x.expectedInReports, x.visibleFrom = true, response.Sequence
-			v.StartsRefused = false
+			v.startsRefusedAt = time.Time{}
 			c.confirmRun(x)
 		case messenger.StartRefused:
 			v.unschedulableUntil = now.Add(refusalPause)
@@ -415,7 +417,7 @@
 // waits again. Otherwise an earlier copy may have started the run or may still do so. The run is then stopped, unless a report lists it
 // before: the stop keeps all copies from taking effect later, so that the next report shows whether the run exists.
 func (c *Coordinator) handleRefusal(x *run, reason string, now time.Time) {
-	x.vm.StartsRefused = true
+	x.vm.startsRefusedAt = now
 	c.Meter.Count("starts-refused")
 	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("reason", reason).Int("sent", x.startsSent).
 		Str("generation", x.vm.agentGeneration).Msg("agent refused to start a run")
