bookkeeper: long-running tasks do not keep the other tasks of their job from starving

Callers would see a task wait without a bound beside a long-running task of the same job.

Cause: only jobs without a run have starving tasks, and the run of a long-running task, which does not end, counted.

Change: it does not count. The wait of long-running tasks is a case of its own.

--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -34,11 +34,11 @@
 // HasStarted reports whether a run of one of the job's tasks has started or was found.
 func (j *Job) HasStarted() bool { return j.started }
 
-// HasRun reports whether a task of the job has a run, or may have one.
+// HasRun reports whether a task of the job that ends has a run, or may have one.
 func (j *Job) HasRun() bool {
 	for _, o := range j.openedOccurrences {
 		for _, t := range o.tasks {
-			if t.running && !t.done {
+			if t.running && !t.done && !t.Step.LongRunning {
 				return true
 			}
 		}
