dispatcher: a VM to hold is searched once for each shape of starving task

Cause: for each starving task without a place, all VMs were searched for one to hold, and if any VM had refused a start, the shapes without a place were forgotten.

Change: the search is remembered for each shape, and attempts on the VMs that accept starts keep shapes of their own.

--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -76,22 +76,27 @@
 func (d *Dispatcher) placeStarving(now time.Time, steps []sortedStep, queues map[string]Queue, vms []*VM) []Placement {
 	var placements []Placement
 	accepting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.StartsRefused })
+	// What is placed on none of these VMs may still be placed on others.
+	unplacedOnAccepting := map[shape]time.Time{}
+	if len(accepting) == len(vms) {
+		unplacedOnAccepting = d.unplaced
+	}
+	notHeld := map[shape]bool{}
 	for _, t := range d.starvingTasks(now, steps) {
 		service := queues[t.Step.Job.Queue].Service
 		if d.heldFor != nil || !t.Step.LongRunning && now.Sub(t.WaitingSince()) < StarvationTime {
 			placements = append(placements, d.placeStarvingTask(now, t, service, vms)...)
 			continue
 		}
+		unplaced := d.unplaced
+		d.unplaced = unplacedOnAccepting
 		placed := d.placeStarvingTask(now, t, service, accepting)
-		if len(placed) == 0 {
-			d.holdVMs(t.Step, service, accepting)
+		d.unplaced = unplaced
+		if taskShape, mayCompare := (request{task: t}).shape(service); len(placed) == 0 && !(mayCompare && notHeld[taskShape]) {
+			notHeld[taskShape] = !d.holdVMs(t.Step, service, accepting)
 		}
-		if len(accepting) < len(vms) {
-			// The failed attempt says nothing about the other VMs.
-			clear(d.unplaced)
-			if len(placed) == 0 && d.heldFor == nil {
-				placed = d.placeStarvingTask(now, t, service, vms)
-			}
+		if len(placed) == 0 && d.heldFor == nil && len(accepting) < len(vms) {
+			placed = d.placeStarvingTask(now, t, service, vms)
 		}
 		placements = append(placements, placed...)
 	}
@@ -110,14 +115,22 @@
 }
 
 // holdVMs holds VMs for the step, those on which most of what a task of the step needs is free: one, or for a gang as many as it needs. It holds none if
-// the VMs cannot have room for the step while their long-running tasks stay there.
-func (d *Dispatcher) holdVMs(s *bookkeeper.Step, service string, vms []*VM) {
+// the VMs cannot have room for the step while their long-running tasks stay there. It returns false if no VM has such room for a task of this shape.
+func (d *Dispatcher) holdVMs(s *bookkeeper.Step, service string, vms []*VM) bool {
 	var candidates []*VM
+	anyRoom := false
 	for _, v := range vms {
-		if v.Service == service && (v.Schedulable || v.SchedulableSoon) && d.roomBesideLongRunning(s, v) > 0 && (d.Forbids == nil || !d.Forbids(s, v)) {
+		if v.Service != service || !v.Schedulable && !v.SchedulableSoon || d.roomBesideLongRunning(s, v) <= 0 {
+			continue
+		}
+		anyRoom = true
+		if d.Forbids == nil || !d.Forbids(s, v) {
 			candidates = append(candidates, v)
 		}
 	}
+	if len(candidates) == 0 {
+		return anyRoom
+	}
 	slices.SortStableFunc(candidates, func(x, y *VM) int {
 		switch {
 		case x.Schedulable && !y.Schedulable:
@@ -142,6 +155,7 @@
 	if needed <= 0 {
 		d.held, d.heldFor = held, s
 	}
+	return true
 }
 
 // roomBesideLongRunning returns how many more tasks of the step would have room on the VM if only its long-running tasks and its runs of the step were
