coordinator: a run that ends as failed keeps the lost time of its task

Callers would see a best-effort task stand still without a bound if its runs at pace 0 end as failed before it is overdue, which a VM may cause.

Cause: the lost time counted on after runs that were stopped or lost, but began anew after a failed one. A run that was found only by its result had no time from which its lost time counts.

Change: it counts on in all cases, from when the run was found.

--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -165,7 +165,7 @@
 		v.unrecordedSequences[result.Sequence] = struct{}{}
 		x, ok := v.runs[result.Task]
 		if !ok || x.number != result.Number {
-			x = c.adoptFinishedRun(v, result)
+			x = c.adoptFinishedRun(v, result, now)
 		}
 		if x != nil {
 			c.confirmRun(x)
@@ -235,7 +235,7 @@
 
 // adoptFinishedRun adds a run that this owner did not know and that has already ended, so that finishRun can apply its result to the task. It
 // returns nil if the result does not matter any more.
-func (c *Coordinator) adoptFinishedRun(v *vm, result messenger.RunResult) *run {
+func (c *Coordinator) adoptFinishedRun(v *vm, result messenger.RunResult, now time.Time) *run {
 	id, ok := job.ParseTask(result.Task)
 	if !ok {
 		return nil
@@ -246,7 +246,7 @@
 	}
 	t.SkipRunNumbersTo(result.Number)
 	v.Add(t)
-	x := &run{taskName: result.Task, task: t, vm: v, number: result.Number, needed: true, expectedInReports: true}
+	x := &run{taskName: result.Task, task: t, vm: v, number: result.Number, needed: true, expectedInReports: true, knownSince: now, pace: pacer.FullPercent, lostTimeAt: now}
 	c.state.runs[t] = x
 	return x
 }
@@ -390,7 +390,7 @@
 	case effectFailure:
 		c.state.jobs.SetCheckpoint(t, checkpoint)
 		c.state.jobs.RunFailed(t, x.number, v.Name, c.queueOf(j).Attempts, c.WallClock.Now())
-		c.state.jobs.WaitAgain(t, c.WallClock.Now(), 0)
+		c.state.jobs.WaitAgain(t, c.WallClock.Now(), x.timeToMakeUp(now))
 	case effectRestart:
 		c.state.jobs.SetCheckpoint(t, checkpoint)
 		c.state.jobs.WaitAgain(t, c.WallClock.Now(), x.timeToMakeUp(now))
