pacer: the comment of work periods does not claim more than they keep

The review showed that a period may begin while another target is missed for its own load, so a miss can last longer than the tolerance with the part before the period. Only the comment changes; formatter, linter and the package's tests pass.

--- a/internal/batch/pacer/pacer.go
+++ b/internal/batch/pacer/pacer.go
@@ -101,7 +101,8 @@
 }
 
 // inWorkPeriod reports whether overdue tasks work at full pace now. It begins a work period if an overdue task has less than the share of its full pace
-// that the periods give it, and a period cannot make a target be missed for longer than MissTolerance on end.
+// that the periods give it, and no target has been missed on the VM for so short a time that the tasks may be the cause. While one target is missed
+// anyway, a period may begin in the middle of another one's miss, of which the part before is not caused by the period.
 func (p *Pacer) inWorkPeriod(tasks []BestEffortTask, paceShares []float64, now time.Time) bool {
 	if now.Before(p.workUntil) {
 		return true
