subscriber: logs and metrics tell how far an entry is behind and why

The log named a new version and its source, but not for how long the entry had been behind, nor how long the read lasted that brought the version or failed. So a lost read, a full link and a slow transfer looked the same. "configuration updated" and the two failures now have the duration of the call, the update also the time since the entry noticed that another one has a newer version, and the metrics have that time as a histogram ("configuration-lag") and the number of updates by source. The logic is unchanged; the package's tests pass.

--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -69,7 +69,7 @@
 		PeerClient:     peerClient, Store: store, Clock: clock, Log: logger, StoreContactTimeout: storeContactTimeout,
 	}
 	e.subscriber = &subscriber.Subscriber{
-		Source: store, PeerClient: peerClient, Log: logger, CongestionTime: congestionTime(settings),
+		Source: store, PeerClient: peerClient, Log: logger, Meter: e.meter, CongestionTime: congestionTime(settings),
 		PeerWithNewerVersion: e.elector.PeerWithNewerVersion, OnStoreResponse: e.elector.RecordStoreContact, OnChange: e.applyRoutes,
 	}
 	e.elector.ConfigurationVersion = e.subscriber.Version
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboohook/internal/fleet/meter"
 	"bamboohook/internal/fleet/routetable"
 	"bamboohook/internal/fleet/sleeper"
 	"bamboohook/internal/fleet/storekeeper"
@@ -34,6 +35,12 @@
 	peerCheckInterval = 100 * time.Millisecond
 )
 
+// The sources of a configuration, for logs and metrics.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
 type (
 	// Source is the store in which operators publish configurations.
 	Source interface {
@@ -57,6 +64,8 @@
 		Source     Source
 		PeerClient PeerClient
 		Log        zerolog.Logger
+		// Meter gets the time for which this entry was behind another one before each change, and the number of changes by source. It may be nil.
+		Meter *meter.Meter
 		// CongestionTime is the longest time for which congestion may delay messages on the link of this entry.
 		CongestionTime time.Duration
 		// PeerWithNewerVersion returns the address of an entry that has a configuration with a higher version, or "" if there is
@@ -69,6 +78,8 @@
 
 		mutex         sync.Mutex
 		configuration *routetable.Configuration
+		// behindSince is when this entry noticed that another entry has a newer configuration. It is zero if this entry knows of none.
+		behindSince time.Time
 	}
 )
 
@@ -93,6 +104,7 @@
 	var offset int64
 	loaded := false
 	for ctx.Err() == nil {
+		startedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout+transfersPerCall*s.CongestionTime)
 		var configuration *routetable.Configuration
 		var err error
@@ -104,7 +116,7 @@
 		cancel()
 		if err == nil {
 			s.OnStoreResponse()
-			s.setIfNewer(configuration, "store")
+			s.setIfNewer(configuration, sourceStore, "", time.Since(startedAt))
 			loaded = loaded || configuration != nil
 			if !loaded {
 				sleeper.Sleep(ctx, retryPause)
@@ -116,7 +128,7 @@
 			continue
 		}
 		if ctx.Err() == nil {
-			s.Log.Warn().Err(err).Int64("version", s.Version()).Msg("failed to read the configuration from the store")
+			s.Log.Warn().Err(err).Int64("version", s.Version()).Dur("duration", time.Since(startedAt)).Msg("failed to read the configuration from the store")
 		}
 		sleeper.Sleep(ctx, retryPause)
 	}
@@ -133,22 +145,36 @@
 		} else {
 			behindFor += peerCheckInterval
 		}
+		s.recordLag(entry != "")
 		if behindFor > storePatience+2*s.CongestionTime {
+			startedAt := time.Now()
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout+transfersPerCall*s.CongestionTime)
 			configuration, err := s.PeerClient.FetchConfiguration(callCtx, entry)
 			cancel()
 			if err != nil {
-				s.Log.Warn().Err(err).Str("entry", entry).Msg("failed to fetch the configuration from another entry")
+				s.Log.Warn().Err(err).Str("entry", entry).Dur("duration", time.Since(startedAt)).Msg("failed to fetch the configuration from another entry")
 			}
-			s.setIfNewer(configuration, entry)
+			s.setIfNewer(configuration, sourcePeer, entry, time.Since(startedAt))
 		}
 		sleeper.Sleep(ctx, peerCheckInterval)
 	}
 }
 
-// setIfNewer stores the configuration if it has a higher version than the current one, and calls OnChange. source names where it came from,
-// for the log.
-func (s *Subscriber) setIfNewer(configuration *routetable.Configuration, source string) {
+// recordLag records whether another entry has a newer configuration.
+func (s *Subscriber) recordLag(behind bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case !behind:
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = time.Now()
+	}
+}
+
+// setIfNewer stores the configuration if it has a higher version than the current one, and calls OnChange. The call to the source took the given
+// time. entry is the address of the entry from which the configuration came, or "".
+func (s *Subscriber) setIfNewer(configuration *routetable.Configuration, source, entry string, duration time.Duration) {
 	if configuration == nil {
 		return
 	}
@@ -158,7 +184,15 @@
 		return
 	}
 	s.configuration = configuration
+	var lag time.Duration
+	if !s.behindSince.IsZero() {
+		lag = time.Since(s.behindSince)
+		s.behindSince = time.Time{}
+	}
 	s.mutex.Unlock()
-	s.Log.Info().Int64("version", configuration.Version).Int("routes", len(configuration.Routes)).Str("from", source).Msg("configuration updated")
+	s.Meter.Count("configurations-from-" + source)
+	s.Meter.Observe("configuration-lag", lag)
+	s.Log.Info().Int64("version", configuration.Version).Int("routes", len(configuration.Routes)).Str("from", source).Str("entry", entry).
+		Dur("duration", duration).Dur("lag", lag).Msg("configuration updated")
 	s.OnChange(configuration)
 }
