standin: the store can hold open connections and has links with a bandwidth

The fake of the store could only stop answering all calls from now on. Now it can also leave the connections that are open unanswered, send responses no faster than a link permits, and do each to single entries, since each entry of an installation calls the store at an address of its own. Responses to reads contain as many records as MaxKb permits, but at least one, as the platform's store does. Handlers no longer hold the store's lock while they send. For the tests of outdated configurations.

--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,6 +46,7 @@
 	callTimeout       = 4 * time.Second
 	readyTimeout      = 10 * time.Second
 	readyPollInterval = 20 * time.Millisecond
+	defaultConfigTime = 2 * time.Second
 )
 
 var memorySetting = regexp.MustCompile(`MemoryMb = \d+`)
@@ -59,6 +61,12 @@
 	Subnet  int
 	Entries int
 	VMs     int
+	// EntryMbps is the bandwidth of the entries' network links in Mbit/s, and EntryProcessors the number of their processors, as far as their settings
+	// tell. 0 means 1,000 Mbit/s and 0.5 processors.
+	EntryMbps       float64
+	EntryProcessors float64
+	// ConfigTime is the time after its acknowledgement from which on a configuration must be in use. 0 means 2 s.
+	ConfigTime time.Duration
 	// Grace is the time that the platform leaves a process between SIGTERM and SIGKILL.
 	Grace time.Duration
 
@@ -79,6 +87,11 @@
 	if err := serve(ctx, i.Store.Handler(), address(i.ip(0, 1), portStore)); err != nil {
 		return err
 	}
+	for n := range i.Entries {
+		if err := serve(ctx, i.Store.Handler(), address(i.EntryStoreIP(n), portStore)); err != nil {
+			return err
+		}
+	}
 	i.PublishConfiguration(RouteService)
 	for n := range i.VMs {
 		ip := i.ip(2, n+1)
@@ -142,6 +155,9 @@
 	return filepath.Join(i.OutputDir, name+".toml")
 }
 
+// EntryStoreIP returns the IP address at which an entry calls the store. No other process calls it there.
+func (i *Installation) EntryStoreIP(n int) string { return i.ip(3, n+1) }
+
 // Process returns the process that was last started under the name, or nil if there is none.
 func (i *Installation) Process(name string) *launcher.Process { return i.launcher.Process(name) }
 
@@ -326,13 +342,22 @@
 	if role == "entry" {
 		fmt.Fprintf(&b, "Frontend = %q\nReadiness = %q\n", address(ip, portFrontend), address(ip, portReadiness))
 	}
-	fmt.Fprintf(&b, "ControlPlane = %q\n[Limits]\nCpuQuota = 0.5\nMemoryMb = 256\nLinkMbps = 1000.0\n", address(ip, portControl))
-	fmt.Fprintf(&b, "[Bounds]\nGraceS = %g\nMaxHoldMs = 6000\nstatus_s = 120\nHarmMs = 4000\n", i.Grace.Seconds())
-	fmt.Fprintf(&b, "[platform]\nAddress = %q\nform = \"log\"\n", address(i.ip(0, 1), portStore))
+	mbps, processors := 1000.0, 0.5
+	if role == "entry" {
+		mbps, processors = cmp.Or(i.EntryMbps, mbps), cmp.Or(i.EntryProcessors, processors)
+	}
+	fmt.Fprintf(&b, "ControlPlane = %q\n[Limits]\nCpuQuota = %g\nMemoryMb = 256\nLinkMbps = %g\n", address(ip, portControl), processors, mbps)
+	fmt.Fprintf(&b, "[Bounds]\nGraceS = %g\nMaxHoldMs = 6000\nstatus_s = 120\nHarmMs = 4000\nConfigMs = %d\n", i.Grace.Seconds(), cmp.Or(i.ConfigTime, defaultConfigTime).Milliseconds())
+	storeIP := i.ip(0, 1)
+	if role == "entry" {
+		storeIP = i.EntryStoreIP(n)
+	}
+	fmt.Fprintf(&b, "[platform]\nAddress = %q\nform = \"log\"\n", address(storeIP, portStore))
 	return b.String()
 }
 
-// ip returns the loopback address with the number n in a group: 0 for the store, 1 for entries, 2 for agents and endpoints.
+// ip returns the loopback address with the number n in a group: 0 for the store, 1 for entries, 2 for agents and
+// endpoints, 3 for the store as entries call it.
 func (i *Installation) ip(group, n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", i.Subnet, group, n)
 }
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -34,7 +34,11 @@
 const (
 	maxPageRecords = 500
 	hangTimeout    = 30 * time.Second
+	// defaultReadKB is the maximum size of a response to a read. It contains at least one record.
+	defaultReadKB  = 1024
 	maxAppendDelay = 2 * time.Second
+	// transferBytes is the size of the parts of a response on a link with limited bandwidth.
+	transferBytes = 8 << 10
 )
 
 type (
@@ -48,6 +52,15 @@
 		faults     map[string]string
 		callCounts map[string]int
 		changed    chan struct{}
+		// connections contains the remote addresses of all connections so far, and held those that get no responses.
+		connections, held map[string]struct{}
+		links             map[string]*link
+	}
+
+	// link is the network link of the processes that call the store at one IP address. All responses to them share it.
+	link struct {
+		bytesPerSecond int
+		freeAt         time.Time
 	}
 
 	topic struct {
@@ -80,8 +93,9 @@
 	return e
 }
 
-// SetFault injects a fault into all calls from the IP address, or into the calls of all callers if address is empty. An
-// empty kind ends the fault. A fault of an address takes precedence over that of all callers.
+// SetFault injects a fault into all calls to the IP address of the store, or into all calls if address is empty. An empty kind ends the
+// fault. A fault of an address takes precedence over that of all. Processes with addresses of their own for the store can so get faults of
+// their own.
 func (m *Metastore) SetFault(address, kind string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -91,6 +105,46 @@
 	m.faults[address] = kind
 }
 
+// HoldConnections makes all connections that are open now silent: no response is sent on them any more. New connections work.
+func (m *Metastore) HoldConnections() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.held = maps.Clone(m.connections)
+}
+
+func (m *Metastore) isHeld(connection string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	_, held := m.held[connection]
+	return held
+}
+
+// SetBandwidth limits the responses from the IP address of the store, all together. 0 removes the limit.
+func (m *Metastore) SetBandwidth(address string, bytesPerSecond int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.links == nil {
+		m.links = map[string]*link{}
+	}
+	m.links[address] = &link{bytesPerSecond: bytesPerSecond}
+}
+
+// reserveLink returns when a part of a response from the IP address has been transferred.
+func (m *Metastore) reserveLink(address string, bytes int) time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	l := m.links[address]
+	if l == nil || l.bytesPerSecond == 0 {
+		return now
+	}
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(bytes) * time.Second / time.Duration(l.bytesPerSecond))
+	return l.freeAt
+}
+
 // AppendRecord appends a record with a JSON value to a topic, without fencing.
 func (m *Metastore) AppendRecord(topicName, key string, value any) {
 	encoded, err := json.Marshal(value)
@@ -135,8 +189,16 @@
 
 func (m *Metastore) injectFaults(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		host, _, _ := net.SplitHostPort(c.Request().RemoteAddr)
+		connection := c.Request().RemoteAddr
+		host := ""
+		if local, ok := c.Request().Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+			host, _, _ = net.SplitHostPort(local.String())
+		}
 		m.mutex.Lock()
+		if m.connections == nil {
+			m.connections = map[string]struct{}{}
+		}
+		m.connections[connection] = struct{}{}
 		if m.callCounts == nil {
 			m.callCounts = map[string]int{}
 		}
@@ -147,6 +209,10 @@
 		}
 		m.mutex.Unlock()
 		time.Sleep(m.Delay)
+		if m.isHeld(connection) {
+			return hang(c)
+		}
+		c.Response().Writer = linkWriter{c.Response().Writer, m, connection, host}
 		switch kind {
 		case FaultBusy:
 			return c.NoContent(http.StatusServiceUnavailable)
@@ -161,7 +227,10 @@
 		case FaultLateAppend:
 			return m.appendLate(c, next)
 		}
-		return next(c)
+		if err := next(c); err != nil || !m.isHeld(connection) {
+			return err
+		}
+		return hang(c)
 	}
 }
 
@@ -198,8 +267,8 @@
 		return err
 	}
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	status, response := m.appendRecords(c.QueryParam("Topic"), c.QueryParam("Producer"), parseUint(c.QueryParam("epoch")), parseUint(c.QueryParam("Sequence")), body)
+	m.mutex.Unlock()
 	return c.JSON(status, response)
 }
 
@@ -276,14 +345,21 @@
 		m.mutex.Lock()
 		break
 	}
-	defer m.mutex.Unlock()
 	t := m.topic(c.QueryParam("Topic"))
 	response := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 	response = binary.BigEndian.AppendUint64(response, uint64(t.firstOffset))
-	for _, r := range t.records[min(from, int64(len(t.records))):] {
+	maxBytes := len(response) + defaultReadKB<<10
+	if n := parseUint(c.QueryParam("MaxKb")); n > 0 {
+		maxBytes = len(response) + int(min(n, defaultReadKB))<<10
+	}
+	for n, r := range t.records[min(from, int64(len(t.records))):] {
+		if n > 0 && len(response)+len(r) > maxBytes {
+			break
+		}
 		response = binary.BigEndian.AppendUint32(response, uint32(len(r)))
 		response = append(response, r...)
 	}
+	m.mutex.Unlock()
 	return c.Blob(http.StatusOK, "application/octet-stream", response)
 }
 
@@ -293,7 +369,6 @@
 		Offset     int64
 	}
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	t := m.topic(c.QueryParam("Topic"))
 	response := struct {
 		Items   []item `json:"items"`
@@ -311,6 +386,7 @@
 		_, value := splitRecord(t.records[t.newestOffsets[key]])
 		response.Items = append(response.Items, item{key, base64.StdEncoding.EncodeToString(value), t.newestOffsets[key]})
 	}
+	m.mutex.Unlock()
 	return c.JSON(http.StatusOK, response)
 }
 
@@ -340,6 +416,41 @@
 	return n
 }
 
+// linkWriter sends a response as fast as the link of the caller permits, and nothing on a held connection.
+type linkWriter struct {
+	http.ResponseWriter
+	store               *Metastore
+	connection, address string
+}
+
+// Write sends the content in parts and returns when the last one has been transferred.
+func (w linkWriter) Write(content []byte) (int, error) {
+	written := 0
+	for written < len(content) {
+		part := content[written:min(len(content), written+transferBytes)]
+		time.Sleep(time.Until(w.store.reserveLink(w.address, len(part))))
+		if w.store.isHeld(w.connection) {
+			return len(content), nil
+		}
+		n, err := w.ResponseWriter.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+		if f, ok := w.ResponseWriter.(http.Flusher); ok && len(content) > transferBytes {
+			f.Flush()
+		}
+	}
+	return written, nil
+}
+
+// WriteHeader sends the status.
+func (w linkWriter) WriteHeader(status int) {
+	if !w.store.isHeld(w.connection) {
+		w.ResponseWriter.WriteHeader(status)
+	}
+}
+
 // discardWriter discards the response of a call.
 type discardWriter struct{ http.ResponseWriter }
 
