elector: an entry that reaches the store first after an outage waits for better ones

Callers were refused as an outdated configuration says, and their jobs for want of an owner, for up to 17 s after an outage of the store. Cause: the first entry with an answer of the store claimed at once, because what the others had told of their contact was from the outage.

An entry that has just reached the store again now waits for 0.7 s and its congestion time while the live owner, or a live entry with more weight, has not told yet whether it has done so too. So an owner that runs on also keeps the ownership.

The fake of the election tests now reads again after 0.4 s, as the subscriber does.

--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -26,6 +26,9 @@
 	maxClaimIntervalDoublings = 3
 	// claimPatience is how long an entry waits while another one is claiming the ownership, apart from the time that congestion may take.
 	claimPatience = 2 * time.Second
+	// contactSettleTime is how long an entry that has reached the store again after an outage waits for others to do so and to tell it, apart from its
+	// own congestion time: a read interval of the store, and a ping with its delay.
+	contactSettleTime = 700 * time.Millisecond
 	// pauseThreshold is the delay of a check from which on this process counts as paused.
 	pauseThreshold = 300 * time.Millisecond
 )
@@ -89,6 +92,9 @@
 	if e.ownerSuspectedAt.IsZero() {
 		e.ownerSuspectedAt = now
 	}
+	if e.awaitsContacts(now) {
+		return false
+	}
 	suspected := now.Sub(e.ownerSuspectedAt)
 	if suspected < claimPatience+e.CongestionTime && e.othersClaim(now) {
 		return false
@@ -100,6 +106,24 @@
 	return suspected >= delay
 }
 
+// awaitsContacts reports whether this entry has reached the store again a short time ago after an outage, while a live owner, or a live entry that should
+// claim before this one, has not told yet whether it has done so too. Which entry is the first after an outage is a matter of chance, and a thin one must
+// not become the owner for that. The caller holds the mutex.
+func (e *Elector) awaitsContacts(now time.Time) bool {
+	if now.Sub(e.contactRegainedAt) >= contactSettleTime+e.CongestionTime {
+		return false
+	}
+	for address, p := range e.peers {
+		if !e.isLive(p, now) || p.lastPing.Draining || p.lastPing.StoreAge <= maxStoreAge {
+			continue
+		}
+		if address == e.owner && p.holdsOwnership(e) || address != e.owner && p.lastPing.Weight > e.Weight {
+			return true
+		}
+	}
+	return false
+}
+
 // claimInterval returns the minimum time between two claims of this entry. The caller holds the mutex.
 func (e *Elector) claimInterval() time.Duration {
 	return minClaimInterval << min(max(e.unsettledClaims-1, 0), maxClaimIntervalDoublings)
@@ -167,7 +191,7 @@
 func (e *Elector) becomeOwnerIfNewest(claim ownerClaim, records []storekeeper.Record, offset int64, loadedAt time.Time) {
 	newest := newestClaim(records)
 	e.mutex.Lock()
-	e.lastStoreContactAt = e.Clock.Now()
+	e.recordStoreContact()
 	e.ownerSuspectedAt = time.Time{}
 	// The highest known epoch may already be that of the claim, because another entry may have read the claim earlier and reported its
 	// epoch to this entry.
@@ -222,7 +246,8 @@
 		}
 		newest := newestClaim(records)
 		e.mutex.Lock()
-		e.lastStoreContactAt, e.ownerContactAt, e.storeOffset = e.Clock.Now(), latest(e.ownerContactAt, sentAt), next
+		e.recordStoreContact()
+		e.ownerContactAt, e.storeOffset = latest(e.ownerContactAt, sentAt), next
 		e.observeEpoch(newest.Epoch, newest.Address)
 		e.mutex.Unlock()
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -137,6 +137,8 @@
 		// which the store responded, and which shows that this process still was the owner then.
 		lastStoreContactAt time.Time
 		ownerContactAt     time.Time
+		// contactRegainedAt is when the store last responded after it had not done so for maxStoreAge or since the start.
+		contactRegainedAt time.Time
 		// epochObservedAt is when a higher epoch of another entry was last observed.
 		epochObservedAt time.Time
 		// ownerKnownAt is when any entry last heard from the owner, as far as this one knows.
@@ -308,7 +310,16 @@
 func (e *Elector) RecordStoreContact() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.lastStoreContactAt = e.Clock.Now()
+	e.recordStoreContact()
+}
+
+// recordStoreContact records a response of the store. The caller holds the mutex.
+func (e *Elector) recordStoreContact() {
+	now := e.Clock.Now()
+	if e.storeAge(now) > maxStoreAge {
+		e.contactRegainedAt = now
+	}
+	e.lastStoreContactAt = now
 }
 
 // RecordAppend records that the store has accepted an append of the owner of the epoch, which was sent at the given time.
--- a/internal/fleet/elector/peers.go
+++ b/internal/fleet/elector/peers.go
@@ -278,7 +278,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.Clock.Now()
-	e.lastStoreContactAt = now
+	e.recordStoreContact()
 	listed := map[string]struct{}{}
 	var silent []string
 	for _, r := range entries {
--- a/internal/fleet/elector/scale_test.go
+++ b/internal/fleet/elector/scale_test.go
@@ -66,6 +66,8 @@
 		stop    context.CancelFunc
 		// freeAt is when the link has transferred all messages so far.
 		freeAt time.Time
+		// storeDownUntil is when the store answers this entry again.
+		storeDownUntil time.Time
 		// running and silent report whether the process runs and whether its messages are lost.
 		running, silent bool
 		sent, received  int
@@ -120,15 +122,15 @@
 	return min(time.Duration(16/n.mbps*float64(time.Second)), 1200*time.Millisecond)
 }
 
-// contactStore reads the configuration from the store, as the subscriber of a process does.
+// contactStore reads the configuration from the store, as the subscriber of a process does: again after 400 ms if there is no response.
 func (n *simNode) contactStore(ctx context.Context, e *elector.Elector) {
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		callCtx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 		if n.storeAvailable(callCtx, 0) {
 			e.RecordStoreContact()
+			time.Sleep(time.Second)
 		}
 		cancel()
-		time.Sleep(time.Second)
 	}
 }
 
@@ -208,7 +210,7 @@
 // storeAvailable waits for the store's answer. It returns false while the store is down.
 func (n *simNode) storeAvailable(ctx context.Context, bytes int) bool {
 	n.cluster.mutex.Lock()
-	down := time.Now().Before(n.cluster.storeDownUntil) || n.silent
+	down := time.Now().Before(n.cluster.storeDownUntil) || time.Now().Before(n.storeDownUntil) || n.silent
 	n.cluster.mutex.Unlock()
 	if down {
 		<-ctx.Done()
