elector: a claim that has lost ends its transfer of the records

An entry whose claim was followed by another one read all records until its timeout, 4.4 s on a thin link, although only the newest claim counts. Now a later epoch ends the calls of the claim.

--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -144,10 +144,12 @@
 		Dur("store-age", e.storeAge(now)).Bool("council", e.inCouncil).Int("known", len(e.peers)).Int("unsettled-claims", e.unsettledClaims-1).
 		Msg("claiming the ownership of the jobs")
 	e.requestProbes()
+	ctx, e.abandonClaim = context.WithCancel(ctx)
 	e.mutex.Unlock()
 	defer func() {
 		e.mutex.Lock()
 		e.claiming = 0
+		e.abandonClaim()
 		e.mutex.Unlock()
 	}()
 	value, err := json.Marshal(claim)
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -131,6 +131,8 @@
 		ownerSince time.Time
 		// claiming is the epoch that this process is claiming, or 0.
 		claiming uint64
+		// abandonClaim ends the calls of the claim, because a later one has been made. Only while claiming is not 0.
+		abandonClaim context.CancelFunc
 		// draining reports whether Drain was called, so that another entry should become the owner.
 		draining bool
 		// lastStoreContactAt is when the store last responded to any component. ownerContactAt is when the last read or append was sent to
@@ -434,6 +436,9 @@
 	if epoch <= e.epoch {
 		return
 	}
+	if e.claiming != 0 && epoch > e.claiming {
+		e.abandonClaim()
+	}
 	e.epochObservedAt = e.Clock.Now()
 	e.ownerKnownAt, e.ownerCallFailedAt = e.epochObservedAt, time.Time{}
 	e.Log.Info().Uint64("epoch", epoch).Str("owner", owner).Uint64("before", e.epoch).Msg("higher epoch observed")
--- a/internal/fleet/elector/outage_test.go
+++ b/internal/fleet/elector/outage_test.go
@@ -1,9 +1,16 @@
 package elector_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboohook/internal/fleet/elector"
+	"bamboohook/internal/fleet/messenger"
+	"bamboohook/internal/fleet/storekeeper"
 )
 
 // TestOutageEndsWithoutWorseOwner guards against an entry with a thin link that becomes the owner, only because it has reached the store a moment earlier
@@ -68,3 +75,56 @@
 		})
 	}
 }
+
+// simWatch is the virtual clock.
+type simWatch struct{}
+
+func (simWatch) Now() time.Time { return time.Now() }
+
+// heldStore accepts claims and holds the reads of the records. It implements elector.Store and elector.PeerClient.
+type heldStore struct {
+	// began and ended receive the times of the reads.
+	began, ended chan time.Time
+}
+
+func (heldStore) Ping(context.Context, string, messenger.Ping) (messenger.Ping, bool, error) {
+	return messenger.Ping{}, true, errNoResponse
+}
+func (heldStore) Append(context.Context, storekeeper.Batch) error              { return nil }
+func (heldStore) RegisterEntry(context.Context, storekeeper.EntryRecord) error { return nil }
+func (heldStore) RemoveEntry(context.Context, string) error                    { return nil }
+func (heldStore) Entries(context.Context) ([]storekeeper.EntryRecord, error) { return nil, nil }
+
+func (heldStore) Follow(context.Context, int64, time.Duration) ([]storekeeper.Record, int64, error) {
+	return nil, 0, errNoResponse
+}
+
+func (s heldStore) Load(ctx context.Context) ([]storekeeper.Record, int64, error) {
+	s.began <- time.Now()
+	<-ctx.Done()
+	s.ended <- time.Now()
+	return nil, 0, ctx.Err()
+}
+
+// TestLostClaimEndsItsTransfer guards against an entry that goes on transferring all records for a claim after which another entry has claimed: on a thin
+// link, that keeps everything else waiting for seconds.
+func TestLostClaimEndsItsTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := heldStore{make(chan time.Time, 100), make(chan time.Time, 100)}
+		e := &elector.Elector{
+			Address: "10.0.0.1:1", Generation: "g", PeerClient: s, Store: s, Clock: simWatch{}, Log: zerolog.Nop(), CongestionTime: time.Second,
+			OnOwnershipGained: func(uint64, []storekeeper.Record) {}, OnOwnershipLost: func(uint64, string) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = e.Run(ctx) }()
+		<-s.began
+		time.Sleep(100 * time.Millisecond)
+		observedAt := time.Now()
+		e.ObserveEpoch(9, "10.0.0.2:1")
+		if lasted := (<-s.ended).Sub(observedAt); lasted > 0 {
+			t.Errorf("the read ended %v after the entry has heard of a later claim", lasted)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
