callers, coordinator: who cannot know whether a queue exists does not decide it

Callers got 404 for a queue that had been added, from an entry that had heard neither from the store nor from other entries for longer than the platform permits, and the number of jobs (200) in a queue that had been removed, if the entry was outdated. Cause: an entry answered from whatever configuration it had, and the owner ignored the version with which a request was forwarded.

An entry now knows when there last certainly was no newer configuration: when the store, asked by it or by another entry (pings tell that), had none. The owner refuses submissions and counts for a queue that is missing in its own configuration if that is the newer one (404), and asks the store at once if it is not. Known queues are served as before.

--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -84,6 +84,9 @@
 // admit checks whether the job can be accepted. It returns the job's queue and true, or the response that refuses the job and false.
 func (c *Coordinator) admit(request messenger.JobRequest) (Queue, messenger.JobResponse, bool) {
 	s := &c.state
+	if c.isQueueRemoved(request) {
+		return Queue{}, messenger.JobResponse{Outcome: messenger.OutcomeNoQueue, Reason: "no such queue"}, false
+	}
 	queue, ok := s.queues[request.Queue]
 	if !ok {
 		// The entry that forwarded the request has a newer configuration, which this entry will receive soon.
@@ -106,6 +109,17 @@
 	return queue, messenger.JobResponse{}, true
 }
 
+// isQueueRemoved reports whether the queue of the request is missing in a configuration that is newer than the one with which the request was forwarded. If
+// the other entry has the newer one, it requests that one. The caller holds the mutex.
+func (c *Coordinator) isQueueRemoved(request messenger.JobRequest) bool {
+	s := &c.state
+	if request.Version > s.configurationVersion && c.OnOutdated != nil {
+		c.OnOutdated()
+	}
+	_, ok := s.queues[request.Queue]
+	return !ok && request.Version > 0 && request.Version < s.configurationVersion
+}
+
 // infeasibleStep returns the number of the first step that no VM of the service could run even if the VM were empty. It returns -1 if there
 // is no such step, if the service has no VM, or while VMs that the previous owner knew may not have sent a report to this owner yet.
 func (c *Coordinator) infeasibleStep(j job.Job, service string) int {
@@ -269,6 +283,9 @@
 	if !c.state.owning {
 		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
 	}
+	if c.isQueueRemoved(request) {
+		return messenger.JobResponse{Outcome: messenger.OutcomeNoQueue, Reason: "no such queue"}
+	}
 	response := messenger.JobResponse{Outcome: messenger.OutcomeDone}
 	for _, j := range c.state.jobs.LiveJobs() {
 		if j.Queue == request.Queue && !j.HasStarted() && j.FirstDue.IsZero() {
--- a/internal/batch/coordinator/coordinator_test.go
+++ b/internal/batch/coordinator/coordinator_test.go
@@ -333,6 +333,25 @@
 		Expect(cluster.countRuns()).To(BeEmpty())
 	})
 
+	// Guards against an owner that accepts or counts jobs of a queue that it knows to be removed, because the entry that forwards the request does not know that
+	// yet, and against one that does not look for the configuration in which another entry has found the queue.
+	It("decides by the newer configuration whether there is a queue", func() {
+		outdated := 0
+		cluster.coordinator.OnOutdated = func() { outdated++ }
+		cluster.configure()
+		newest := cluster.configurationVersion
+		for version, want := range map[int64]string{newest - 1: messenger.OutcomeNoQueue, newest: messenger.OutcomeNotOwner, newest + 1: messenger.OutcomeNotOwner} {
+			response := cluster.coordinator.Submit(ctx, messenger.JobRequest{Job: twoStepJob("a"), Queue: "removed", Version: version})
+			Expect(response.Outcome).To(Equal(want), "version %d, the owner has %d", version, newest)
+		}
+		Expect(outdated).To(Equal(1))
+		Expect(cluster.coordinator.CountQueuedJobs(ctx, messenger.JobRequest{Queue: "removed", Version: newest - 1}).Outcome).To(Equal(messenger.OutcomeNoQueue))
+		Expect(cluster.coordinator.CountQueuedJobs(ctx, messenger.JobRequest{Queue: "q", Version: newest - 1}).Outcome).To(Equal(messenger.OutcomeDone))
+		Expect(outdated).To(Equal(1))
+		Expect(cluster.coordinator.CountQueuedJobs(ctx, messenger.JobRequest{Queue: "q", Version: newest + 1}).Outcome).To(Equal(messenger.OutcomeDone))
+		Expect(outdated).To(Equal(2))
+	})
+
 	// Guards against jobs that callers see as started while the starts of their tasks have no known outcome or were refused.
 	It("counts a job as not started until a run of it is confirmed", func() {
 		queuedJobs := func() int {
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -102,6 +102,8 @@
 		Limits    Limits
 		// Address is the address at which agents reach this entry.
 		Address string
+		// OnOutdated is called when another entry has a newer configuration of the queues. It must not block. It may be nil.
+		OnOutdated func()
 		// MayGrantLeases reports whether agents may renew leases: it is true while no other entry can own the jobs.
 		MayGrantLeases func() bool
 		// MayShowStates reports whether callers may see the states of jobs. It is false after a pause of this process, in which another entry may have
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -86,6 +86,7 @@
 		MayGrantLeases: e.elector.MayGrantLeases,
 		MayShowStates:  e.elector.MayShowStates,
 		OwnedAt:        e.elector.OwnedAt,
+		OnOutdated:     e.subscriber.Check,
 	}
 	if settings.AdviceAddress != "" {
 		advisor := platform.NewAdvisor(settings.AdviceAddress)
@@ -114,7 +115,7 @@
 		}
 	}
 	callerServer := platform.CallerServer{
-		RequestHandler: e.receptionist, Configuration: e.subscriber.Configuration, Log: e.logger, Closing: isDraining,
+		RequestHandler: e.receptionist, Configuration: e.subscriber.Configuration, Refresh: e.subscriber.Refresh, Log: e.logger, Closing: isDraining,
 		Ready: func() bool {
 			owner, _ := e.elector.Owner()
 			return !isDraining() && owner != "" && e.subscriber.Configuration() != nil
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -281,7 +281,8 @@
 		ID  string  `json:"id,omitempty"`
 		// Queue is the queue of the job, or the queue whose jobs are counted. A job of another queue counts as unknown.
 		Queue string `json:"queue"`
-		// Version is the version of the configuration in which the entry has looked up the queue. The owner does not use it.
+		// Version is the version of the configuration in which the entry has looked up the queue. If the owner's is newer, the owner's decides whether
+		// there is such a queue.
 		Version int64 `json:"version"`
 		// Relayed marks a request that is sent to the owner through another entry, because the entry that received it from the
 		// caller can't reach the owner. Such a request must not be relayed again.
@@ -316,6 +317,8 @@
 	OutcomeUnknown = "unknown"
 	// OutcomeNotFound means that the job is unknown.
 	OutcomeNotFound = "missing"
+	// OutcomeNoQueue means that the request was not executed because there is no such queue any more.
+	OutcomeNoQueue = "no-queue"
 	// OutcomeNotOwner means that the receiver doesn't own the jobs. It did not execute the request, unless MayHaveEffect is set in the
 	// response. The next owner can tell.
 	OutcomeNotOwner = "not-owner"
--- a/internal/fleet/subscriber/lag_test.go
+++ b/internal/fleet/subscriber/lag_test.go
@@ -376,3 +376,53 @@
 		synctest.Wait()
 	})
 }
+
+// TestRefreshTellsWhetherConfigurationMayBeOutdated guards against an entry that answers from a configuration of which it cannot know whether it is the newest
+// one, and against one that refuses to answer although the store or another entry shows that.
+func TestRefreshTellsWhetherConfigurationMayBeOutdated(t *testing.T) {
+	for name, c := range map[string]struct {
+		storeAnswers, peerConfirms, want bool
+	}{
+		"the store answers":                   {storeAnswers: true, want: true},
+		"another entry has asked the store":   {peerConfirms: true, want: true},
+		"neither the store nor another entry": {want: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store, entries := startEntries(ctx, 20<<10, 0, 1000)
+				e := entries[0]
+				if e.subscriber.Refresh(ctx) {
+					t.Error("an entry without a configuration has refreshed it")
+				}
+				store.publish()
+				e.lag(3)
+				if age := e.subscriber.Age(); age > time.Second {
+					t.Errorf("the age is %v after the read of the configuration", age)
+				}
+				e.setUnreachable(!c.storeAnswers)
+				if c.peerConfirms {
+					e.subscriber.PeerConfirmation = func(int64) time.Time { return time.Now().Add(-time.Second) }
+				}
+				time.Sleep(5 * time.Second)
+				for range 3 {
+					startedAt := time.Now()
+					if got := e.subscriber.Refresh(ctx); got != c.want {
+						t.Errorf("the configuration may not be outdated: %v", got)
+					}
+					if took := time.Since(startedAt); took > 700*time.Millisecond || c.want && took > 0 {
+						t.Errorf("the answer took %v", took)
+					}
+				}
+				e.setUnreachable(false)
+				time.Sleep(time.Second)
+				if !e.subscriber.Refresh(ctx) {
+					t.Error("the configuration counts as outdated after the store has answered again")
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
