--- a/internal/fleet/elector/outage_test.go
+++ b/internal/fleet/elector/outage_test.go
@@ -93,7 +93,7 @@
 func (heldStore) Append(context.Context, storekeeper.Batch) error              { return nil }
 func (heldStore) RegisterEntry(context.Context, storekeeper.EntryRecord) error { return nil }
 func (heldStore) RemoveEntry(context.Context, string) error                    { return nil }
-func (heldStore) Entries(context.Context) ([]storekeeper.EntryRecord, error) { return nil, nil }
+func (heldStore) Entries(context.Context) ([]storekeeper.EntryRecord, error)   { return nil, nil }
 
 func (heldStore) Follow(context.Context, int64, time.Duration) ([]storekeeper.Record, int64, error) {
 	return nil, 0, errNoResponse
