receptionist: requests to an owner that does not serve yet are sent less often

An entry sent a request to the owner again 20 ms after each refusal, with its whole body, until 1.5 s had passed. While an owner loads its records, that is about 70 copies of each submission.

The pause now doubles with each refusal, up to 160 ms, and ends as soon as another owner is known.

--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -15,8 +15,10 @@
 const (
 	// attemptTimeout bounds one call to the owner. After it, the request is sent to the entry that is the owner then.
 	attemptTimeout = 1400 * time.Millisecond
-	// retryPause is the time until a request is sent again after a call without success.
-	retryPause = 20 * time.Millisecond
+	// retryPause is the time until a request is sent again after a call without success. It doubles with each call to the same owner, up to
+	// maxRetryPause, because a request with a large job sent again and again fills the links of both entries.
+	retryPause    = 20 * time.Millisecond
+	maxRetryPause = 160 * time.Millisecond
 	// ownerWaitTimeout is how long a request waits for an entry that responds as the owner. An election takes about half of it.
 	ownerWaitTimeout = 1500 * time.Millisecond
 	// storeUnavailableAge is the time since the last contact with the store after which no election of an owner is likely to succeed
@@ -86,7 +88,9 @@
 // for waiting for one is over.
 func (r *Receptionist) sendToOwner(ctx context.Context, method string, request messenger.JobRequest, startedAt time.Time) messenger.JobResponse {
 	mayHaveEffect := false
+	pause := retryPause
 	for ctx.Err() == nil {
+		calledOwner, calledEpoch := r.Ownership.Owner()
 		response := r.attempt(ctx, method, request)
 		mayHaveEffect = mayHaveEffect || response.MayHaveEffect
 		if response.Outcome != messenger.OutcomeNotOwner {
@@ -100,7 +104,11 @@
 				break
 			}
 		}
-		sleeper.Sleep(ctx, retryPause)
+		r.waitForOwner(ctx, calledOwner, calledEpoch, pause)
+		pause = min(2*pause, maxRetryPause)
+		if owner, epoch := r.Ownership.Owner(); owner != calledOwner || epoch != calledEpoch {
+			pause = retryPause
+		}
 	}
 	response := messenger.JobResponse{Outcome: messenger.OutcomeNotExecuted, Reason: "no owner", RetryAfter: noOwnerRetryAfter}
 	if mayHaveEffect {
@@ -112,6 +120,15 @@
 	return response
 }
 
+// waitForOwner waits until another entry than the one that was called is the owner, at most for the given time.
+func (r *Receptionist) waitForOwner(ctx context.Context, calledOwner string, calledEpoch uint64, timeout time.Duration) {
+	for ; timeout > 0 && sleeper.Sleep(ctx, min(timeout, retryPause)); timeout -= retryPause {
+		if owner, epoch := r.Ownership.Owner(); owner != calledOwner || epoch != calledEpoch {
+			return
+		}
+	}
+}
+
 // concludeResponse returns the response to all copies of the request. response is the owner's response to the last one, and mayHaveEffect
 // reports whether the owner may still execute an earlier one. The refusal of one copy says nothing about the others, so the outcome is then
 // unknown. A done request and a missing job are facts about the job, whichever copy they answer.
--- a/internal/fleet/receptionist/receptionist_test.go
+++ b/internal/fleet/receptionist/receptionist_test.go
@@ -217,4 +217,12 @@
 		r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
 		Expect(r.Handle(context.Background(), "other", messenger.JobRequest{}).Outcome).To(Equal(messenger.OutcomeInvalid))
 	})
+
+	// Guards against requests that are sent again and again to an owner that does not serve yet, and so fill the links of both entries.
+	It("sends a request to an owner that does not serve yet only a few times", func() {
+		o := &fakeOwner{owner: "other", results: []callResult{{outcome: messenger.OutcomeNotOwner}}}
+		r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
+		Expect(r.Handle(context.Background(), messenger.MethodSubmit, messenger.JobRequest{}).Outcome).To(Equal(messenger.OutcomeNotExecuted))
+		Expect(len(o.targets)).To(And(BeNumerically(">=", 8), BeNumerically("<=", 16)))
+	})
 })
