soak: open connections to the store become silent before changes to large configurations

The soak had changes of a few routes and faults of the store that counted as disturbances, so it never showed that a change is used in time after a lost read. Each series now has two moments at which all open connections to the store become silent, followed within 0.9 s by a configuration with 2,800 more routes. They do not count as disturbances. They come from a random source of their own, so the other faults of a seed stay as they were.

--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -159,11 +159,15 @@
 	}
 }
 
-// publish publishes a configuration with a route for its version only.
-func (c *callers) publish() {
+// publish publishes a configuration with a route for its version only, and extra routes that nobody uses.
+func (c *callers) publish(extraRoutes int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.installation.PublishConfiguration(estate.RouteService, routePrefix(len(c.published)))
+	prefixes := []string{routePrefix(len(c.published))}
+	for n := range extraRoutes {
+		prefixes = append(prefixes, fmt.Sprintf("/extra-route-%d/", n))
+	}
+	c.installation.PublishConfiguration(estate.RouteService, prefixes...)
 	c.published = append(c.published, time.Now())
 }
 
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,13 @@
 	// delayedStartShare is the share of starts that are executed late.
 	delayedStartShare = 0.2
 	changedMemoryMB   = 200
+	// holdsPerSeries is the number of times in each series at which all open connections to the store become silent.
+	holdsPerSeries = 2
+	// The kinds of faults around changes of the configuration: open connections to the store become silent, and a configuration with
+	// largeRouteCount more routes is published a short time later.
+	faultHold, faultPublishLarge = "hold", "publish-large"
+	largeRouteCount              = 2800
+	maxHoldLead                  = 900 * time.Millisecond
 )
 
 type (
@@ -86,6 +94,21 @@
 	return faults
 }
 
+// drawConfigurationFaults draws changes to large configurations shortly after open connections to the store have become silent. These do not count as
+// disturbances, so that a change must be in use in time after them, too.
+func drawConfigurationFaults(r *rand.Rand) []fault {
+	var faults []fault
+	for s := range seriesCount {
+		start := time.Duration(s) * (seriesDuration + quietTime)
+		for range holdsPerSeries {
+			// The second half of the quiet time belongs to the machines in touch.
+			offset := start + drawDuration(r, 0, seriesDuration+quietTime)
+			faults = append(faults, fault{faultHold, "store", offset, 0}, fault{faultPublishLarge, "operator", offset + drawDuration(r, 0, maxHoldLead), 0})
+		}
+	}
+	return faults
+}
+
 // drawTargets draws what a fault affects: some entries, agents or endpoints, the store, or the operator's configuration.
 func drawTargets(r *rand.Rand, entries, vms int) (string, []string) {
 	group := func(count int, name func(int) string) []string {
@@ -115,7 +138,7 @@
 }
 
 // play plays the faults and returns when the last one has ended. It ends them early when ctx is done.
-func (p *player) play(ctx context.Context, faults []fault, publish func()) {
+func (p *player) play(ctx context.Context, faults []fault, publish func(extraRoutes int)) {
 	startTime := time.Now()
 	var group sync.WaitGroup
 	for _, f := range faults {
@@ -127,15 +150,19 @@
 	group.Wait()
 }
 
-func (p *player) playOne(ctx context.Context, f fault, publish func()) {
+func (p *player) playOne(ctx context.Context, f fault, publish func(extraRoutes int)) {
 	index := -1
-	if f.kind != "hangup" && f.kind != "publish" {
+	if !slices.Contains([]string{"hangup", "publish", faultHold, faultPublishLarge}, f.kind) {
 		index = p.begin()
 	}
 	lateness := time.Duration(0)
 	switch f.kind {
 	case "publish":
-		publish()
+		publish(0)
+	case faultPublishLarge:
+		publish(largeRouteCount)
+	case faultHold:
+		p.installation.Store.HoldConnections()
 	case "hangup":
 		p.note(p.installation.ChangeMemory(f.target, changedMemoryMB))
 		p.installation.Process(f.target).Signal(syscall.SIGHUP)
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -66,7 +66,8 @@
 	defer i.Stop()
 	Expect(i.Start(ctx)).To(Succeed())
 	r := rand.New(rand.NewPCG(seed, 0))
-	faults := drawFaults(r, entries, vms)
+	// A source of its own leaves the faults of a seed as they were before these were added.
+	faults := append(drawFaults(r, entries, vms), drawConfigurationFaults(rand.New(rand.NewPCG(seed, 1)))...)
 	fmt.Fprintf(GinkgoWriter, "seed %d, %d entries, %d VMs, output in %s, faults:\n", seed, entries, vms, i.OutputDir)
 	origin := time.Now()
 	for _, f := range faults {
@@ -74,7 +75,7 @@
 	}
 	p := &player{installation: i}
 	c := &callers{installation: i, entries: entries}
-	c.publish()
+	c.publish(0)
 	jobs := playAll(ctx, r, p, c, faults)
 	Expect(ctx.Err()).NotTo(HaveOccurred())
 	Expect(p.errs).To(BeEmpty())
