subscriber: the store is asked for a newer version at most once in 0.4 s

While another entry has a newer version and the store does not (its reads may be outdated for seconds after a loss of its history), each look at the other entries, ten in a second, made a call to the store. Calls have a price. A check now follows the last one after 0.4 s at the earliest.

--- a/internal/fleet/subscriber/follower.go
+++ b/internal/fleet/subscriber/follower.go
@@ -43,8 +43,9 @@
 		results chan result
 		// lastStartAt is when the last read was started, retryAt the earliest time for a read while none is in progress.
 		lastStartAt, retryAt time.Time
-		// checking reports whether the store has to be asked at once.
-		checking bool
+		// checking reports whether the store has to be asked at once, and lastCheckAt when that was last done.
+		checking    bool
+		lastCheckAt time.Time
 	}
 
 	// read is a read of the store in progress.
@@ -99,7 +100,7 @@
 	}
 	last := f.reads[len(f.reads)-1]
 	if f.checking && last.wait > 0 && f.transferAt().IsZero() {
-		return f.lastStartAt
+		return f.lastCheckAt.Add(readInterval)
 	}
 	stalledAt := last.startedAt.Add(last.wait + stallTimeout)
 	if at := f.transferAt(); !at.IsZero() {
@@ -122,19 +123,20 @@
 // start starts a read. Only a read beside which no other is in progress waits for a change, the others show at once whether the store answers.
 func (f *follower) start(ctx context.Context, now time.Time) {
 	r := &read{startedAt: now}
-	if len(f.reads) == 0 && f.loaded && !f.checking {
+	if f.checking && now.Sub(f.lastCheckAt) >= readInterval {
+		f.checking, f.lastCheckAt = false, now
+	} else if len(f.reads) == 0 && f.loaded {
 		r.wait = followWait
 	}
 	if len(f.reads) > 0 {
 		f.subscriber.Source.CloseIdleConnections()
-		f.subscriber.Log.Info().Int64("version", f.subscriber.Version()).Int("in-progress", len(f.reads)).Bool("check", f.checking).
+		f.subscriber.Log.Info().Int64("version", f.subscriber.Version()).Int("in-progress", len(f.reads)).
 			Dur("oldest", now.Sub(f.reads[0].startedAt)).Msg("reading the configuration from the store again beside reads without a response")
 	}
 	if len(f.reads) == maxReads {
 		oldest := f.reads[0]
 		f.drop(func(r *read) bool { return r == oldest })
 	}
-	f.checking = false
 	f.lastStartAt = now
 	f.reads = append(f.reads, r)
 	s, offset, loaded := f.subscriber, f.offset, f.loaded
