attendant: a delayed list request does not discard results of the next endpoint process

Cause: a list request tells the endpoint up to which number results are recorded. The agent leaves that out while a start is in progress, but one that it has composed before, and that is delayed, by a pause of the agent for example, is carried out by the new process after the start. That process numbers its results anew, and an ID is all that tells the two apart.

A start now carries a higher fencing token than all such requests without an answer, so a process that has carried out the start rejects them. The token is raised once for a batch of starts, since no such request is composed during one.

"keeps a delayed list request from discarding the result of a start that a later endpoint process has executed" failed before: the request was accepted. The package's tests pass.

--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -38,6 +38,11 @@
 	// reports that this response was composed, which happens before the delay.
 	listRelease  chan struct{}
 	listComposed bool
+	// listHold, unless nil, is a channel that delays the next list request that makes the endpoint forget results, before it is executed, until the
+	// test closes it. listHeld reports that a request is delayed so, and lateListErr is the outcome of its execution.
+	listHold    chan struct{}
+	listHeld    bool
+	lateListErr error
 	// startRelease, unless nil, is a channel that delays starts until the test closes it. startBlocked reports that a start is delayed.
 	startRelease chan struct{}
 	startBlocked bool
@@ -68,7 +73,18 @@
 	return &endpoint{incarnation: 100, runs: map[string]messenger.Run{}, highestNumbers: map[string]int{}, nextSequence: 1, paces: map[string]int{}}
 }
 
-func (e *endpoint) List(ctx context.Context, q attendant.ListQuery) (attendant.Listing, error) {
+func (e *endpoint) List(ctx context.Context, q attendant.ListQuery) (l attendant.Listing, err error) {
+	e.mutex.Lock()
+	hold := e.listHold
+	if hold != nil && q.RecordedSequence > 0 {
+		e.listHold, e.listHeld = nil, true
+		e.mutex.Unlock()
+		<-hold
+		q.MaxWait = 0
+		defer func() { e.mutex.Lock(); defer e.mutex.Unlock(); e.lateListErr = err }()
+	} else {
+		e.mutex.Unlock()
+	}
 	for end := time.Now().Add(q.MaxWait); ; {
 		e.mutex.Lock()
 		if e.notListening {
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -194,6 +194,9 @@
 		lastAppliedRequestAt time.Time
 		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
 		lastStartEndedAt time.Time
+		// discards counts the list requests by token that make the endpoint forget recorded results and have not been answered. Such a request may be
+		// carried out by the next endpoint process, which numbers its results anew.
+		discards map[uint64]int
 		// startsInProgress is the number of starts of which copies are being sent.
 		startsInProgress int
 		// listCalls are the list requests in progress.
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -308,6 +308,10 @@
 		// get a higher token. Then the endpoint process, or the next one, does not execute that copy any more after it has received one of them.
 		a.raiseToken()
 	}
+	a.fenceDiscards()
+	if a.session == 0 {
+		return c, false, ErrOtherIncarnation
+	}
 	return StartCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, DeadlineMS: a.leaseDeadlineMS(now), Start: s}, false, nil
 }
 
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -157,12 +157,16 @@
 	if a.listed && sentAt.Before(a.grantedUntil) {
 		q.DeadlineMS = a.leaseDeadlineMS(sentAt)
 	}
+	a.beginDiscard(q)
 	a.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+listTimeoutMargin)
 	defer cancel()
 	listing, err := a.Endpoint.List(callCtx, q)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherIncarnation) {
+		a.endDiscard(q)
+	}
 	if err != nil && ctx.Err() != nil {
 		// Another request has been answered, or the agent ends.
 		return err
@@ -183,6 +187,41 @@
 	return nil
 }
 
+// beginDiscard counts the list request if it makes the endpoint forget results. The caller holds the mutex.
+func (a *Attendant) beginDiscard(q ListQuery) {
+	if q.RecordedSequence == 0 {
+		return
+	}
+	if a.discards == nil {
+		a.discards = map[uint64]int{}
+	}
+	a.discards[q.FencingToken]++
+}
+
+// endDiscard no longer counts the list request, because it cannot be carried out later. The caller holds the mutex.
+func (a *Attendant) endDiscard(q ListQuery) {
+	if q.RecordedSequence == 0 || a.discards[q.FencingToken] == 0 {
+		return
+	}
+	a.discards[q.FencingToken]--
+	if a.discards[q.FencingToken] == 0 {
+		delete(a.discards, q.FencingToken)
+	}
+}
+
+// fenceDiscards raises the token above those of unanswered list requests that make the endpoint forget results, so that no process carries them out
+// after a start with that token. The caller holds the mutex.
+func (a *Attendant) fenceDiscards() {
+	if a.discards[a.fencingToken] > 0 {
+		a.raiseToken()
+	}
+	for token := range a.discards {
+		if token < a.fencingToken {
+			delete(a.discards, token)
+		}
+	}
+}
+
 // notifyListEnded wakes those who wait for the end of a list request. The caller holds the mutex.
 func (a *Attendant) notifyListEnded() {
 	close(a.listEnded)
