--- a/internal/fleet/subscriber/lag_test.go
+++ b/internal/fleet/subscriber/lag_test.go
@@ -426,3 +426,35 @@
 		})
 	}
 }
+
+// TestNewProcessTakesConfigurationFromOtherEntry guards against a new process that serves nothing while the store does not answer it, and against one that
+// answers from another entry's configuration as if it knew that this is the newest one.
+func TestNewProcessTakesConfigurationFromOtherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store, entries := startEntries(ctx, 20<<10, 0, 1000, 1000)
+		entries[1].setUnreachable(true)
+		store.publish()
+		if lag := entries[1].lag(3); lag > 2*time.Second {
+			t.Errorf("the new process has a configuration after %v", lag)
+		}
+		// The other entry is cut off, too, when the next version is published.
+		entries[0].setUnreachable(true)
+		store.publish()
+		time.Sleep(5 * time.Second)
+		if version := entries[1].subscriber.Version(); version != 3 {
+			t.Errorf("the new process uses version %d", version)
+		}
+		if entries[1].subscriber.Refresh(ctx) {
+			t.Error("the configuration of the other entry counts as the newest one")
+		}
+		entries[1].setUnreachable(false)
+		time.Sleep(time.Second)
+		if version := entries[1].subscriber.Version(); version != 6 || !entries[1].subscriber.Refresh(ctx) {
+			t.Errorf("the new process uses version %d after the store has answered", version)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
