attendant: only overdue list requests make a start raise the fencing token

A list request waits at the endpoint nearly always, so nearly each start raised the token.

A request that the endpoint holds has reached the process that is alive. Only one that is overdue, by 60 ms beyond its permitted delay, may still be on its way, as after a pause of the agent. Only such requests raise the token now. What is given up: a request that is on its way for less than that, while the endpoint is replaced, a start is sent, and its run ends.

--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -607,6 +607,8 @@
 		e.listHold = hold
 		e.mutex.Unlock()
 		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listHeld }).Should(BeTrue())
+		// The request is overdue after that time, because the endpoint would have answered it.
+		time.Sleep(700 * time.Millisecond)
 		// The agent does not know of the replacement, so the start goes to the process with the same ID.
 		e.replace()
 		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -194,9 +194,9 @@
 		lastAppliedRequestAt time.Time
 		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
 		lastStartEndedAt time.Time
-		// discards counts the list requests by token that make the endpoint forget recorded results and have not been answered. Such a request may be
-		// carried out by the next endpoint process, which numbers its results anew.
-		discards map[uint64]int
+		// discards are the list requests that make the endpoint forget recorded results and have not been answered, at most maxDiscards. Such a
+		// request may be carried out by the next endpoint process, which numbers its results anew.
+		discards []*discard
 		// startsInProgress is the number of starts of which copies are being sent.
 		startsInProgress int
 		// listCalls are the list requests in progress.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,6 +36,8 @@
 	// unlistedPause is the time between list requests while the runs are not listed, for example because the owner has not numbered the agent
 	// process yet.
 	unlistedPause = 20 * time.Millisecond
+	// maxDiscards limits the list requests without an answer that are kept. Those of one token have the same effect.
+	maxDiscards = 64
 	// maxClockSlownessPercent is by how many percent at most the endpoint's clock runs slower than the agent's.
 	maxClockSlownessPercent = 2
 )
@@ -157,7 +160,7 @@
 	if a.listed && sentAt.Before(a.grantedUntil) {
 		q.DeadlineMS = a.leaseDeadlineMS(sentAt)
 	}
-	a.beginDiscard(q)
+	d := a.beginDiscard(q, sentAt)
 	a.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+listTimeoutMargin)
 	defer cancel()
@@ -165,7 +168,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherIncarnation) {
-		a.endDiscard(q)
+		a.endDiscard(d)
 	}
 	if err != nil && ctx.Err() != nil {
 		// Another request has been answered, or the agent ends.
@@ -187,39 +190,39 @@
 	return nil
 }
 
-// beginDiscard counts the list request if it makes the endpoint forget results. The caller holds the mutex.
-func (a *Attendant) beginDiscard(q ListQuery) {
+// discard is a list request that makes the endpoint forget results. Without an answer at overdueAt, it may not have reached the endpoint yet.
+type discard struct {
+	token     uint64
+	overdueAt time.Time
+}
+
+// beginDiscard adds the list request to the discards if it makes the endpoint forget results, and returns nil otherwise. The caller holds the mutex.
+func (a *Attendant) beginDiscard(q ListQuery, sentAt time.Time) *discard {
 	if q.RecordedSequence == 0 {
-		return
+		return nil
 	}
-	if a.discards == nil {
-		a.discards = map[uint64]int{}
+	d := &discard{q.FencingToken, sentAt.Add(q.MaxWait + repeatInterval)}
+	if len(a.discards) == maxDiscards {
+		// The oldest one has the earliest time, and the others of its token have no further effect.
+		a.discards = slices.Delete(a.discards, 1, 2)
 	}
-	a.discards[q.FencingToken]++
+	a.discards = append(a.discards, d)
+	return d
 }
 
-// endDiscard no longer counts the list request, because it cannot be carried out later. The caller holds the mutex.
-func (a *Attendant) endDiscard(q ListQuery) {
-	if q.RecordedSequence == 0 || a.discards[q.FencingToken] == 0 {
-		return
-	}
-	a.discards[q.FencingToken]--
-	if a.discards[q.FencingToken] == 0 {
-		delete(a.discards, q.FencingToken)
-	}
+// endDiscard removes a list request that cannot be carried out later. d may be nil. The caller holds the mutex.
+func (a *Attendant) endDiscard(d *discard) {
+	a.discards = slices.DeleteFunc(a.discards, func(other *discard) bool { return other == d })
 }
 
-// fenceDiscards raises the token above those of unanswered list requests that make the endpoint forget results, so that no process carries them out
+// fenceDiscards raises the token above those of overdue list requests that make the endpoint forget results, so that no process carries them out
 // after a start with that token. The caller holds the mutex.
 func (a *Attendant) fenceDiscards() {
-	if a.discards[a.fencingToken] > 0 {
+	now := a.Clock.Now()
+	if slices.ContainsFunc(a.discards, func(d *discard) bool { return d.token == a.fencingToken && !now.Before(d.overdueAt) }) {
 		a.raiseToken()
 	}
-	for token := range a.discards {
-		if token < a.fencingToken {
-			delete(a.discards, token)
-		}
-	}
+	a.discards = slices.DeleteFunc(a.discards, func(d *discard) bool { return d.token < a.fencingToken })
 }
 
 // notifyListEnded wakes those who wait for the end of a list request. The caller holds the mutex.
