launcher: a reserved network is usable although other processes are being started

Cause: the test program tried whether the port of the log service is free with a listener of its own, and closed it. A process that another scenario starts at that moment has a copy of the listener until it runs its program, and the scenarios start many at once. Nothing of the product is involved.

The port is now tried with a connection, which leaves no listener.

--- a/internal/launcher/installation.go
+++ b/internal/launcher/installation.go
@@ -1,11 +1,13 @@
 package launcher
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +30,8 @@
 	vmsPerRack      = 3
 	readyTimeout    = 15 * time.Second
 	dataCentreCount = 3
+	// probeTimeout bounds the check whether a port is in use. The address is on this machine.
+	probeTimeout = time.Second
 )
 
 type (
@@ -66,9 +70,14 @@
 		}
 		i.network, i.reservation = network, reservation
 		// A test program that is killed loses its reservation, but the processes that it has started continue to use the network.
-		// So the network is free only if the port of the log service is also free.
-		if probe, err := net.Listen("tcp", i.LogAddress()); err == nil {
-			return probe.Close()
+		// So the network is free only if nothing listens on the port of the log service. A listener would not tell that without harm: processes
+		// that are started meanwhile have copies of it until they run their program, and the log service could not listen.
+		conn, err := net.DialTimeout("tcp", i.LogAddress(), probeTimeout)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil
+		}
+		if err == nil {
+			_ = conn.Close()
 		}
 		_ = reservation.Close()
 	}
