--- a/internal/fleet/elector/newest_test.go
+++ b/internal/fleet/elector/newest_test.go
@@ -13,7 +13,7 @@
 	"bamboohook/internal/fleet/storekeeper"
 )
 
-var _ = Describe("PeerWithNewerVersion", func() {
+var _ = Describe("PeersWithNewerVersion", func() {
 	// Guards against an entry that starts while the store is away and uses routes or keys that were withdrawn, because it takes the configuration of
 	// an entry that lags behind.
 	It("names the entry with the newest configuration", func() {
