Show jobs that never end after the loss of a silent worker

Cause: the agent reports the runs of its last list for ever, also when its endpoint has answered no list request for longer than the leases last, and the owner counts a VM as lost only without reports.

--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -59,6 +59,7 @@
 		sequence int64
 		state    string
 		over     bool
+		silent   bool
 		// lapsedAt is when the lease last lapsed.
 		lapsedAt time.Time
 	}
@@ -131,6 +132,21 @@
 	w.Record.Printf("worker %s ends", w.ID)
 }
 
+// Silence ends the life of the worker like Crash, but its address stays silent: connections are accepted, and no call on them is answered.
+func (w *Worker) Silence() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	l := w.life
+	l.update()
+	l.over, l.silent = true, true
+	l.cancel()
+	for task, x := range l.runs {
+		w.Record.end(w.ID, task, x.number, "crash", time.Now())
+	}
+	l.runs = map[string]*execution{}
+	w.Record.Printf("worker %s ends and is silent", w.ID)
+}
+
 // Drain makes the heartbeats say that the worker leaves.
 func (w *Worker) Drain() {
 	w.mutex.Lock()
@@ -150,6 +166,13 @@
 // checkInstance refuses calls that are meant for another worker.
 func (l *life) checkInstance(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+		l.worker.mutex.Lock()
+		silent := l.silent
+		l.worker.mutex.Unlock()
+		if silent {
+			<-in.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if expected := in.Header.Get("Expect-Instance"); expected != "" && expected != l.worker.ID {
 			out.WriteHeader(http.StatusMisdirectedRequest)
 			return
