Show a task that fills and gets no pace after the restart of an agent

Cause: the owner counts the pace 0 as confirmed for all runs of a new agent process, so a pace of 0 that follows is never sent.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -60,6 +62,7 @@
 		// AdviceAddress is the address of the advice service, if there is one.
 		AdviceAddress string
 
+		mutex     sync.Mutex
 		folder    string
 		subnet    int
 		processes map[string]*exec.Cmd
@@ -82,6 +85,7 @@
 	if r.folder, err = os.MkdirTemp("", "bamboohook-review-"); err != nil {
 		return eris.Wrap(err, "rig: no temporary folder")
 	}
+	r.stopOnSignal()
 	r.processes, r.ended = map[string]*exec.Cmd{}, map[string]chan struct{}{}
 	r.client = &http.Client{Timeout: clientTimeout + time.Second}
 	var ctx context.Context
@@ -112,6 +116,21 @@
 	return r.waitReady()
 }
 
+// stopOnSignal ends all processes when the script is told to end.
+func (r *Rig) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		for _, cmd := range r.processes {
+			_ = cmd.Process.Kill()
+		}
+		os.Exit(ExitNotRun)
+	}()
+}
+
 // Stop ends all processes and servers.
 func (r *Rig) Stop() {
 	for name := range r.processes {
@@ -185,7 +204,9 @@
 	}
 	ended := make(chan struct{})
 	go func() { _ = cmd.Wait(); close(ended) }()
+	r.mutex.Lock()
 	r.processes[name], r.ended[name] = cmd, ended
+	r.mutex.Unlock()
 	r.Record.Printf("process %s starts", name)
 	return nil
 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -27,6 +27,8 @@
 	maxListedEnds = 500
 	maxWait       = 2 * time.Second
 	pollPause     = 4 * time.Millisecond
+	// Lasting is the run time from which on a run counts as one of a task that lasts. It is at work at once.
+	Lasting = time.Hour
 )
 
 type (
@@ -38,6 +40,8 @@
 		CPU, MemMb            int64
 		// RunTime returns how long a run with the text of the job takes.
 		RunTime func(spec string) time.Duration
+		// Measure returns the figure of each run for the lists, by the names of the tasks. It may be nil.
+		Measure func(runs []RunState) map[string]int
 		Record  *Record
 
 		mutex sync.Mutex
@@ -64,7 +68,15 @@
 		lapsedAt time.Time
 	}
 
+	// RunState is a run at a worker. Pace is the share at which it works, in percent.
+	RunState struct {
+		Task, Spec string
+		Started    time.Time
+		Pace       int
+	}
+
 	execution struct {
+		spec     string
 		number   int
 		started  time.Time
 		duration time.Duration
@@ -163,6 +175,23 @@
 	return len(w.life.runs)
 }
 
+// States returns the runs.
+func (w *Worker) States() []RunState {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.life.update()
+	return w.life.states()
+}
+
+// states returns the runs. The caller holds the mutex.
+func (l *life) states() []RunState {
+	var states []RunState
+	for task, x := range l.runs {
+		states = append(states, RunState{task, x.spec, x.started, x.pace})
+	}
+	return states
+}
+
 // checkInstance refuses calls that are meant for another worker.
 func (l *life) checkInstance(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
@@ -231,7 +260,7 @@
 	}
 	l.extend(c.DeadlineMs)
 	l.highest[c.Task] = c.Run
-	l.runs[c.Task] = &execution{number: c.Run, started: time.Now(), duration: l.worker.RunTime(c.Spec), pace: 100}
+	l.runs[c.Task] = &execution{spec: c.Spec, number: c.Run, started: time.Now(), duration: l.worker.RunTime(c.Spec), pace: 100}
 	l.worker.Record.start(l.worker.ID, c.Task, c.Run)
 	return ""
 }
@@ -245,10 +274,11 @@
 	return ""
 }
 
-// pace records the share at which a run works. The runs of the stand-in work at full pace. The caller holds the mutex.
+// pace records the share at which a run works, which changes what it disturbs and not how long it takes. The caller holds the mutex.
 func (l *life) pace(c call) string {
 	if x := l.runs[c.Task]; x != nil && x.number == c.Run {
 		x.pace = c.Percent
+		l.worker.Record.Printf("worker %s: pace of %s run %d is %d", l.worker.ID, c.Task, c.Run, c.Percent)
 	}
 	return ""
 }
@@ -286,9 +316,16 @@
 		time.Sleep(pollPause)
 	}
 	running, ended := [][]any{}, [][]any{}
+	figures := map[string]int{}
+	if w.Measure != nil {
+		figures = w.Measure(l.states())
+	}
 	for task, x := range l.runs {
 		percent := min(100*time.Since(x.started)/max(x.duration, 1), 99)
-		running = append(running, []any{task, x.number, "", percent, 0})
+		if x.duration >= Lasting {
+			percent = 100
+		}
+		running = append(running, []any{task, x.number, "", percent, figures[task]})
 	}
 	for _, e := range l.ends[:min(len(l.ends), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
