Show a task that runs twice after a crash of its worker

Cause: a list request that tells the last recorded result of the endpoint process before waits at the next one under the same ID, which forgets the result of a run that ends meanwhile.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -113,11 +113,21 @@
 			return err
 		}
 	}
-	return r.waitReady()
+	if err := r.waitReady(); err != nil {
+		return err
+	}
+	for name := range r.processes {
+		if r.Ended(name, 0) {
+			return eris.Errorf("rig: %s has ended", name)
+		}
+	}
+	return nil
 }
 
 // stopOnSignal ends all processes when the script is told to end.
 func (r *Rig) stopOnSignal() {
+	// Without a reader of its output, the script goes on to its end.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -232,7 +242,7 @@
 	select {
 	case <-r.ended[name]:
 		return true
-	case <-time.After(timeout):
+	case <-time.After(max(timeout, time.Millisecond)):
 		return false
 	}
 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -40,6 +40,8 @@
 		CPU, MemMb            int64
 		// RunTime returns how long a run with the text of the job takes.
 		RunTime func(spec string) time.Duration
+		// FirstHeartbeat is the time from the beginning of a life to its first heartbeat.
+		FirstHeartbeat time.Duration
 		// Measure returns the figure of each run for the lists, by the names of the tasks. It may be nil.
 		Measure func(runs []RunState) map[string]int
 		Record  *Record
@@ -307,8 +309,9 @@
 		l.token = c.FencingToken
 		if first {
 			l.extend(c.DeadlineMs)
-			l.forget(c.LastSeen)
 		}
+		// The ends up to LastSeen are those that the response leaves out, so the ones of now count.
+		l.forget(c.LastSeen)
 		if len(l.ends) > 0 || !time.Now().Before(deadline) || in.Context().Err() != nil {
 			break
 		}
@@ -399,6 +402,10 @@
 // sendHeartbeats sends heartbeats until ctx is done.
 func (l *life) sendHeartbeats(ctx context.Context) {
 	client := &http.Client{Timeout: heartbeatTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	select {
+	case <-ctx.Done():
+	case <-time.After(l.worker.FirstHeartbeat):
+	}
 	for ctx.Err() == nil {
 		l.sendHeartbeat(ctx, client)
 		select {
