--- a/review/scenarios/manyends/main.go
+++ b/review/second/cmd/manyends/main.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"bamboohook/review/rig"
+	"bamboohook/review/second/internal/rig"
 )
 
 const (
--- a/review/scenarios/silentworker/main.go
+++ b/review/second/cmd/silentworker/main.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"bamboohook/review/rig"
+	"bamboohook/review/second/internal/rig"
 )
 
 const (
--- a/review/scenarios/unsentpace/main.go
+++ b/review/second/cmd/unsentpace/main.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"bamboohook/review/rig"
+	"bamboohook/review/second/internal/rig"
 )
 
 const (
