Keep partial, outdated and former knowledge of runs from starting tasks twice or never

Reports now say that results are missing. Nothing is concluded from the absence of a run in such a report, and a new owner waits for the rest. - An agent went on reporting the last list of an endpoint that had become silent for good, so its tasks never started elsewhere. Reports now carry the age of the list, and no task starts where it is older than 1.2 s. An endpoint that returns is listed under a new number of the agent process. - A delayed list request told the next endpoint process with the same ID the results that were recorded of the former one, which then discarded a result of its own. Only requests that the endpoint may not delay now tell recorded results, and starts carry a higher token than all such requests that were sent to a former process. Besides, the owner repeats a pace of 0 to a new agent process.

The test of a delayed list request held a request that the agent does not send any more; it now holds the first one with the number.

--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -138,6 +138,9 @@
 		// may be that of a run that neither the agent nor this owner knows.
 		runsListed  bool
 		unknownRuns bool
+		// listAge is the age of that list when the report was sent. resultsMissing reports that the endpoint may hold more run results.
+		listAge        time.Duration
+		resultsMissing bool
 		// remainingTime is the reported minimum time that a draining VM keeps running. Nothing reads it.
 		remainingTime time.Duration
 		// lastReportAt is when the last report arrived, or the zero time if none has arrived in this epoch. lastListedAt is the same for the last one that
@@ -208,7 +211,7 @@
 		// lastReport is the state of the run in the last report that listed it.
 		lastReport messenger.Run
 		// pace is the pace in percent that the run should have, as package pacer defines it. confirmedPace is the pace that the agent has
-		// confirmed, and paceSentAt the time when a pace was last sent.
+		// confirmed, or unconfirmedPace, and paceSentAt the time when a pace was last sent.
 		pace          int
 		confirmedPace int
 		paceSentAt    time.Time
--- a/internal/batch/coordinator/orders.go
+++ b/internal/batch/coordinator/orders.go
@@ -14,6 +14,8 @@
 	// may take up to six, which must not exceed the size of a frame.
 	maxOrdersPerMessage = 512
 	maxOrdersBytes      = 1 << 20
+	// unconfirmedPace is the confirmed pace of a run whose pace may be any, because its agent process was replaced.
+	unconfirmedPace = -1
 	// orderOverhead is about how many bytes an order takes besides its texts.
 	orderOverhead = 200
 )
@@ -104,6 +106,9 @@
 
 // paceOrderDue reports whether the pace differs enough from the confirmed pace to be sent to the agent.
 func (x *run) paceOrderDue() bool {
+	if x.confirmedPace == unconfirmedPace {
+		return true
+	}
 	if x.pace == pacer.FullPercent || x.pace == 0 {
 		return x.pace != x.confirmedPace
 	}
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -102,7 +102,7 @@
 			// An earlier owner may have let the agent renew its leases for the time Contact after this epoch began.
 			lastContact, maxSilence = s.takenOverAt, maxSilence+c.Leases.Contact
 		}
-		if len(v.runs) > 0 && !v.lastReportAt.IsZero() && !v.runsListed && v.reportedState != messenger.VMNotListening {
+		if len(v.runs) > 0 && !v.lastReportAt.IsZero() && !v.runsListed && !messenger.HasNoRuns(v.reportedState) {
 			// Reports without a list of the runs renew no leases.
 			lastContact = v.lastListedAt
 		}
@@ -114,8 +114,8 @@
 			continue
 		}
 		// An agent that was restarted may send reports before it knows the runs at its endpoint. Such a report does not list them, or says that a
-		// row without a readable task may hide one.
-		runsUnlisted := v.lastReportAt.IsZero() || (!v.runsListed || v.unknownRuns) && v.reportedState != messenger.VMNotListening
+		// row without a readable task may hide one. While results are missing, a task whose run has ended there seems to have no run.
+		runsUnlisted := v.lastReportAt.IsZero() || (!v.runsListed || v.unknownRuns || v.resultsMissing) && !messenger.HasNoRuns(v.reportedState)
 		someRunsUnknown = someRunsUnknown || runsUnlisted && ownedAt.Sub(s.takenOverAt) <= maxLeaseTime+c.Leases.Contact
 		if v.reportedState == messenger.VMDraining {
 			c.stopRunsToMove(v)
@@ -293,7 +293,7 @@
 
 // usable reports whether tasks may start on the VM now if its circuit breaker allows it.
 func (c *Coordinator) usable(v *vm, now time.Time) bool {
-	if !v.recordStored || v.lastReportAt.IsZero() || !v.runsListed || v.reportedState != messenger.VMUp || now.Sub(v.lastReportAt) > maxReportAge ||
+	if !v.recordStored || v.lastReportAt.IsZero() || !v.runsListed || v.reportedState != messenger.VMUp || now.Sub(v.lastReportAt) > maxReportAge || v.listAge > maxListAge ||
 		now.Before(v.unschedulableUntil) {
 		return false
 	}
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -20,6 +20,9 @@
 	// age of the first one reaches maxReportAge.
 	reportSpacing     = 2500 * time.Microsecond
 	maxReportInterval = 600 * time.Millisecond
+	// maxListAge is the age of the list of runs in the last report above which no task starts on a VM, because its endpoint may not respond. An endpoint
+	// may delay a list for half a second, and one lost response costs little more than that.
+	maxListAge = 1200 * time.Millisecond
 	// maxUnlistedTime is how long a row without a readable task may hide a run before the run is stopped. A row that is odd for a moment stops
 	// nothing.
 	maxUnlistedTime = 2 * time.Second
@@ -55,7 +58,7 @@
 	if r.Listed {
 		c.processResults(v, r, now)
 	}
-	if r.Listed || r.State == messenger.VMNotListening {
+	if r.Listed || messenger.HasNoRuns(r.State) {
 		c.reconcileRuns(v, r, now)
 	}
 	c.updateMayHaveRuns(v)
@@ -87,10 +90,11 @@
 		c.Log.Info().Str("vm", v.Name).Str("generation", r.Generation).Str("before", v.agentGeneration).Uint64("report", r.Sequence).
 			Uint64("agent-epoch", r.Epoch).Uint64("session", s.lastSession).Int("runs", len(v.runs)).Msg("first report of an agent process")
 		// The first complete list of the new process shows which of the sent starts have reached the endpoint, including those to which the
-		// previous agent process did not respond. The confirmed pace 0 makes the owner send every pace above 0 again.
+		// previous agent process did not respond. No pace is confirmed, so that the owner sends each of them again, also 0: the previous process may
+		// have ended before it had sent that one.
 		for _, x := range v.runs {
 			x.mayReachNextProcess = x.mayReachNextProcess || !x.expectedInReports
-			x.expectedInReports, x.visibleFrom, x.confirmedPace = true, 0, 0
+			x.expectedInReports, x.visibleFrom, x.confirmedPace = true, 0, unconfirmedPace
 		}
 		v.agentGeneration, v.session, v.identifiedAt = r.Generation, s.lastSession, now
 		v.reportSequence, v.runsListed = 0, false
@@ -130,10 +134,11 @@
 			Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
 	}
 	v.reportSequence, v.reportSentMS, v.lastReportAt = r.Sequence, r.SentMS, now
-	if r.Listed || r.State == messenger.VMNotListening {
+	if r.Listed || messenger.HasNoRuns(r.State) {
 		v.lastListedAt = now
 	}
 	v.reportedState, v.runsListed, v.unknownRuns, v.remainingTime = r.State, r.Listed, r.UnknownRuns, r.RemainingTime
+	v.listAge, v.resultsMissing = r.ListAge, r.ResultsMissing
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
 	}
@@ -142,7 +147,7 @@
 // updateMayHaveRuns updates whether the VM may have runs. If that has changed, it requests a record of the VM. A new owner only waits for the
 // reports of VMs that may have runs.
 func (c *Coordinator) updateMayHaveRuns(v *vm) {
-	mayHaveRuns := v.reportedState != messenger.VMNotListening || len(v.runs) > 0
+	mayHaveRuns := !messenger.HasNoRuns(v.reportedState) || len(v.runs) > 0
 	if mayHaveRuns == v.mayHaveRuns {
 		return
 	}
@@ -252,7 +257,7 @@
 }
 
 // reconcileRuns compares the runs in the report with the known runs of the VM. It adds unknown runs with adoptRun, and treats known runs that
-// should be in the report but are missing there as lost.
+// should be in the report but are missing there as lost. A report without all results says nothing about these: they may have ended.
 func (c *Coordinator) reconcileRuns(v *vm, r messenger.Report, now time.Time) {
 	listedRunNumbers := map[string]int{}
 	for _, reported := range r.Runs {
@@ -284,7 +289,10 @@
 		c.updateUnlisted(x, reported.Unlisted, now)
 	}
 	for name, x := range v.runs {
-		if x.mayReachNextProcess && (!r.Listed || r.State == messenger.VMNotListening) && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
+		if r.ResultsMissing && r.Listed {
+			break
+		}
+		if x.mayReachNextProcess && (!r.Listed || messenger.HasNoRuns(r.State)) && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
 			continue
 		}
 		if x.expectedInReports && r.Sequence >= x.visibleFrom && listedRunNumbers[name] != x.number && !slices.Contains(r.UnreadableTasks, name) {
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -87,6 +87,7 @@
 	defer a.mutex.Unlock()
 	if a.reportRequests == nil {
 		a.startedAt, a.generation = a.Clock.Now(), a.Generation
+		a.lastResponseAt, a.lastLeaseAt = a.startedAt, a.startedAt
 		a.reportRequests, a.listRequests = make(chan struct{}, 1), make(chan struct{}, 1)
 		a.listEnded = make(chan struct{})
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
@@ -266,6 +267,10 @@
 		VM: a.Address, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, SentMS: a.millisSinceProcessStart(now), Incarnation: a.incarnation,
 		State: messenger.VMUnknown, Listed: a.listed, Results: a.pendingResults[:len(a.pendingResults):len(a.pendingResults)],
 		UnreadableTasks: a.unreadableTasks, UnnamedRuns: a.unnamedRuns, UnknownRuns: a.listed && !a.allRunsKnown,
+		ResultsMissing: a.listed && a.resultsMissing,
+	}
+	if a.listed {
+		r.ListAge = now.Sub(a.lastResponseAt).Truncate(time.Millisecond)
 	}
 	if h.Incarnation == a.incarnation && a.incarnation != 0 {
 		r.EndpointID, r.Service, r.DataCentre, r.Rack, r.Labels, r.Capacity = h.EndpointID, h.Service, h.DataCentre, h.Rack, h.Labels, h.Capacity
@@ -276,6 +281,8 @@
 	}
 	if a.refusedConnections >= maxRefusedConnections {
 		r.State = messenger.VMNotListening
+	} else if a.silent {
+		r.State = messenger.VMSilent
 	}
 	for _, x := range a.runs {
 		reported := x.Run
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -590,7 +590,6 @@
 		Expect(o.report().Results[0].Task).To(Equal("b.0.0.0"))
 	})
 
-	// Guards against an agent that delays its report to a new owner because it waits for the list of entries in the store.
 	// Guards against a task that runs again after it is done: a list request that makes the endpoint forget recorded results, and is delayed, reaches the next
 	// process with the same ID, which numbers its results anew, after that process has executed a start.
 	It("keeps a delayed list request from discarding the result of a start that a later endpoint process has executed", func() {
@@ -598,14 +597,15 @@
 		e.mutex.Lock()
 		e.finish("b.0.0.0", messenger.RunDone)
 		e.mutex.Unlock()
-		o.mutex.Lock()
-		o.recordedSequence = 1
-		o.mutex.Unlock()
-		Eventually(func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return len(e.results) }).Should(BeZero())
+		// The first request that makes the endpoint forget the result is delayed. A repeat of it takes effect.
 		hold := make(chan struct{})
 		e.mutex.Lock()
 		e.listHold = hold
 		e.mutex.Unlock()
+		o.mutex.Lock()
+		o.recordedSequence = 1
+		o.mutex.Unlock()
+		Eventually(func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return len(e.results) }).Should(BeZero())
 		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listHeld }).Should(BeTrue())
 		// The request is overdue after that time, because the endpoint would have answered it.
 		time.Sleep(700 * time.Millisecond)
@@ -622,6 +622,7 @@
 		Expect(e.results).To(HaveLen(1))
 	})
 
+	// Guards against an agent that delays its report to a new owner because it waits for the list of entries in the store.
 	It("reports to a new owner at once while the list of entries cannot be read", func() {
 		o.mutex.Lock()
 		o.failsReports = true
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -190,8 +190,15 @@
 		// decisiveToken is the lowest fencing token of a list request whose response contains all runs: starts of earlier agent processes, and
 		// those sent before the endpoint process was detected, carry lower tokens.
 		decisiveToken uint64
-		// lastAppliedRequestAt is the time at which the agent sent the list request for the last applied listing.
+		// lastAppliedRequestAt is the time at which the agent sent the list request for the last applied listing. lastResponseAt is when the
+		// endpoint last responded to a list request, or when the agent was started.
 		lastAppliedRequestAt time.Time
+		lastResponseAt       time.Time
+		// lastLeaseAt is when a request that begins or renews leases was last sent, or when the agent was started: an earlier agent process may
+		// have sent one until then.
+		lastLeaseAt time.Time
+		// silent reports whether all leases have expired without a response of the endpoint.
+		silent bool
 		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
 		lastStartEndedAt time.Time
 		// discards are the list requests that make the endpoint forget recorded results and have not been answered, at most maxDiscards. Such a
@@ -215,9 +222,12 @@
 		refusedConnections int
 		// recordedSequence is the sequence number of the last run result that the owner has recorded, lastResultSequence that of
 		// the last one that the endpoint has listed. pendingResults contains the results after recordedSequence.
-		recordedSequence   int64
-		lastResultSequence int64
-		pendingResults     []messenger.RunResult
+		// acknowledgedSequence is the last number that the endpoint was allowed to discard. resultsMissing is that of the last listing.
+		recordedSequence     int64
+		acknowledgedSequence int64
+		lastResultSequence   int64
+		pendingResults       []messenger.RunResult
+		resultsMissing       bool
 		// unreadableTasks, unreadableResults and unnamedRuns are those of the last listing.
 		unreadableTasks   []string
 		unreadableResults bool
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -30,6 +30,7 @@
 	ReasonEntrySilent      = "entry-silent"
 	ReasonStaleReport      = "report-too-old"
 	ReasonNoGrant          = "no-grant"
+	ReasonEndpointSilent   = "endpoint-silent"
 	ReasonDraining         = "draining"
 	ReasonNoCapacity       = "no-room"
 	ReasonOtherRun         = "other-run"
@@ -44,7 +45,7 @@
 // HandleOrders executes the orders of an owner and returns when all of its calls to the endpoint have ended. It rejects all of the orders
 // if the owner's epoch is lower than the highest known one, if they are meant for another agent process or refer to another endpoint process,
 // or if the agent hasn't received a complete list of the runs from this process yet. It also rejects all of them if they contain starts and are based on an old report, or if they
-// contain starts while the agent has no grant to renew leases or while an entry that it doesn't reach may be a newer owner.
+// contain starts while the agent has no grant to renew leases, while the endpoint does not respond, or while an entry that it doesn't reach may be a newer owner.
 func (a *Attendant) HandleOrders(ctx context.Context, o messenger.Orders) messenger.OrdersResponse {
 	a.mutex.Lock()
 	reason := a.checkOrders(o)
@@ -112,6 +113,8 @@
 		return ReasonStaleReport
 	case !now.Before(a.grantedUntil):
 		return ReasonNoGrant
+	case a.endpointOverdue(now):
+		return ReasonEndpointSilent
 	}
 	return ""
 }
@@ -300,7 +303,7 @@
 		return c, true, nil
 	}
 	now := a.Clock.Now()
-	if !now.Before(a.grantedUntil) {
+	if !now.Before(a.grantedUntil) || a.endpointOverdue(now) {
 		return c, false, ErrRefused
 	}
 	if a.fencingToken == lastToken {
@@ -312,6 +315,7 @@
 	if a.session == 0 {
 		return c, false, ErrOtherIncarnation
 	}
+	a.lastLeaseAt = now
 	return StartCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, DeadlineMS: a.leaseDeadlineMS(now), Start: s}, false, nil
 }
 
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -38,6 +38,9 @@
 	unlistedPause = 20 * time.Millisecond
 	// maxDiscards limits the list requests without an answer that are kept. Those of one token have the same effect.
 	maxDiscards = 64
+	// leaseMargin is added to the duration of a lease to get the time after which the endpoint has certainly ended the run: its clock may be
+	// slow, and timers are late.
+	leaseMargin = 500 * time.Millisecond
 	// maxClockSlownessPercent is by how many percent at most the endpoint's clock runs slower than the agent's.
 	maxClockSlownessPercent = 2
 )
@@ -102,7 +105,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	switch {
-	case !a.listed:
+	case !a.listed || a.endpointOverdue(a.Clock.Now()) || a.mayAcknowledge() && a.recordedSequence > a.acknowledgedSequence:
 		return 0
 	case len(a.runs) == 0:
 		return idleListWait
@@ -110,6 +113,18 @@
 	return busyListWait
 }
 
+// endpointOverdue reports whether the endpoint has not responded for the duration of a grant. The agent then renews no leases and executes no
+// starts, so that the leases of a silent endpoint expire. The caller holds the mutex.
+func (a *Attendant) endpointOverdue(now time.Time) bool {
+	return now.Sub(a.lastResponseAt) > a.LeaseDurations.Grant
+}
+
+// mayAcknowledge reports whether a list request may tell the endpoint which results are recorded. Another process numbers its results anew and must not
+// discard any. It may have the same ID, but it has no results if all starts ended before the last listing was requested. The caller holds the mutex.
+func (a *Attendant) mayAcknowledge() bool {
+	return a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" && a.lastStartEndedAt.Before(a.lastAppliedRequestAt) && !a.isStarting()
+}
+
 // listUntilAnswered sends a list request. While it is overdue, which is repeatInterval after the permitted delay of the response, it sends another one
 // each repeatInterval, until one of them is answered or has failed. The endpoint answers the further ones without a delay. As each request has a
 // timeout, at most a few more than listTimeoutMargin/repeatInterval are in progress. It reports whether a request succeeded.
@@ -151,14 +166,13 @@
 	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait}
 	if a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" {
 		q.EndpointID = a.heartbeat.EndpointID
-		// Another process numbers its results anew and must not discard any. It may have the same ID, but it has no results if all starts ended
-		// before the last listing was requested.
-		if a.lastStartEndedAt.Before(a.lastAppliedRequestAt) && !a.isStarting() {
+		// A request that the endpoint may delay could wait at the next process with the same ID, and make it discard results that it gets meanwhile.
+		if wait == 0 && a.mayAcknowledge() {
 			q.RecordedSequence = a.recordedSequence
 		}
 	}
-	if a.listed && sentAt.Before(a.grantedUntil) {
-		q.DeadlineMS = a.leaseDeadlineMS(sentAt)
+	if a.listed && sentAt.Before(a.grantedUntil) && !a.endpointOverdue(sentAt) {
+		q.DeadlineMS, a.lastLeaseAt = a.leaseDeadlineMS(sentAt), sentAt
 	}
 	d := a.beginDiscard(q, sentAt)
 	a.mutex.Unlock()
@@ -178,10 +192,19 @@
 	if err != nil {
 		a.handleListError(err, q)
 		if callCtx.Err() != nil {
+			a.checkSilence(sentAt)
 			return errUnanswered
 		}
 		return err
 	}
+	a.lastResponseAt = a.Clock.Now()
+	if a.silent {
+		a.silent = false
+		a.renewGeneration("the endpoint responds again after the leases of its runs have expired")
+	}
+	if q.RecordedSequence > 0 && listing.Incarnation == a.incarnation {
+		a.acknowledgedSequence = max(a.acknowledgedSequence, q.RecordedSequence)
+	}
 	if a.refusedConnections >= maxRefusedConnections {
 		a.Log.Info().Int64("life", listing.Incarnation).Msg("endpoint is reachable again")
 	}
@@ -190,10 +213,37 @@
 	return nil
 }
 
-// discard is a list request that makes the endpoint forget results. Without an answer at overdueAt, it may not have reached the endpoint yet.
+// checkSilence handles a list request without a response that was sent at sentAt. If it was sent when all leases had expired, no run is at work at the
+// endpoint, and the agent reports so. The caller holds the mutex.
+func (a *Attendant) checkSilence(sentAt time.Time) {
+	if a.silent || !a.endpointOverdue(sentAt) || sentAt.Sub(a.lastLeaseAt) <= a.LeaseDurations.Run+leaseMargin {
+		return
+	}
+	a.Log.Warn().Int64("life", a.incarnation).Dur("silence", a.Clock.Now().Sub(a.lastResponseAt)).Dur("since-renewal", a.Clock.Now().Sub(a.lastLeaseAt)).
+		Int("runs", len(a.runs)).Msg("endpoint is silent; the leases of its runs have expired")
+	a.Meter.Count("endpoint-silent")
+	a.silent, a.listed = true, false
+	a.dropConfirmedRuns()
+	a.requestReport()
+}
+
+// dropConfirmedRuns removes the runs that the endpoint has confirmed, after they have certainly ended. A start in progress may still reach the next
+// endpoint process. The caller holds the mutex.
+func (a *Attendant) dropConfirmedRuns() {
+	a.unnamedRuns, a.allRunsKnown = false, false
+	for task, x := range a.runs {
+		if x.phase == phaseRunning {
+			delete(a.runs, task)
+		}
+	}
+}
+
+// discard is a list request that makes the endpoint process with the incarnation forget results. Without an answer at overdueAt, it may not have reached
+// that process yet.
 type discard struct {
-	token     uint64
-	overdueAt time.Time
+	token       uint64
+	incarnation int64
+	overdueAt   time.Time
 }
 
 // beginDiscard adds the list request to the discards if it makes the endpoint forget results, and returns nil otherwise. The caller holds the mutex.
@@ -201,7 +251,7 @@
 	if q.RecordedSequence == 0 {
 		return nil
 	}
-	d := &discard{q.FencingToken, sentAt.Add(q.MaxWait + repeatInterval)}
+	d := &discard{q.FencingToken, a.incarnation, sentAt.Add(q.MaxWait + repeatInterval)}
 	if len(a.discards) == maxDiscards {
 		// The oldest one has the earliest time, and the others of its token have no further effect.
 		a.discards = slices.Delete(a.discards, 1, 2)
@@ -215,11 +265,13 @@
 	a.discards = slices.DeleteFunc(a.discards, func(other *discard) bool { return other == d })
 }
 
-// fenceDiscards raises the token above those of overdue list requests that make the endpoint forget results, so that no process carries them out
-// after a start with that token. The caller holds the mutex.
+// fenceDiscards raises the token above those of list requests that make the endpoint forget results, if they are overdue or were sent to an earlier endpoint
+// process, so that no process carries them out after a start with that token. The caller holds the mutex.
 func (a *Attendant) fenceDiscards() {
 	now := a.Clock.Now()
-	if slices.ContainsFunc(a.discards, func(d *discard) bool { return d.token == a.fencingToken && !now.Before(d.overdueAt) }) {
+	if slices.ContainsFunc(a.discards, func(d *discard) bool {
+		return d.token == a.fencingToken && (d.incarnation != a.incarnation || !now.Before(d.overdueAt))
+	}) {
 		a.raiseToken()
 	}
 	a.discards = slices.DeleteFunc(a.discards, func(d *discard) bool { return d.token < a.fencingToken })
@@ -276,16 +328,10 @@
 	if a.refusedConnections != maxRefusedConnections {
 		return
 	}
-	a.unnamedRuns, a.allRunsKnown = false, false
 	a.Log.Warn().Int64("life", a.incarnation).Int("runs", len(a.runs)).Msg("endpoint refuses connections; its process counts as ended")
 	// The pending run results are kept. If the same process still exists, it lists them again, but the agent skips results that it has
 	// already seen.
-	for task, x := range a.runs {
-		// Only confirmed runs are removed. A start in progress may still reach the next endpoint process.
-		if x.phase == phaseRunning {
-			delete(a.runs, task)
-		}
-	}
+	a.dropConfirmedRuns()
 	a.requestReport()
 }
 
@@ -301,8 +347,8 @@
 	a.endpointClockMS, a.endpointClockReadAt = l.ClockMS, a.Clock.Now()
 	if l.Incarnation != a.incarnation {
 		a.Log.Info().Int64("life", l.Incarnation).Int64("before", a.incarnation).Int("runs", len(l.Runs)).Msg("new endpoint process detected")
-		a.incarnation, a.listed, a.recordedSequence, a.lastResultSequence = l.Incarnation, false, 0, 0
-		a.allRunsKnown = false
+		a.incarnation, a.listed, a.recordedSequence, a.acknowledgedSequence, a.lastResultSequence = l.Incarnation, false, 0, 0, 0
+		a.allRunsKnown, a.resultsMissing = false, false
 		a.runs, a.highestStopped, a.pendingResults = map[string]*run{}, map[string]int{}, nil
 		// Calls in progress carry a lower token, so the endpoint rejects them once it has received the next list request.
 		a.raiseToken()
@@ -331,6 +377,7 @@
 		a.Log.Warn().Int64("life", l.Incarnation).Bool("unnamed", l.UnnamedRuns).Int("runs", len(l.Runs)).Msg("runs without a readable task in the list have changed")
 	}
 	a.unreadableTasks, a.unreadableResults, a.unnamedRuns = l.UnreadableTasks, l.UnreadableResults, l.UnnamedRuns
+	a.resultsMissing = l.ResultsMissing
 	a.allRunsKnown = a.allRunsKnown || !l.UnnamedRuns
 	listedTasks := map[string]struct{}{}
 	for _, task := range l.UnreadableTasks {
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -32,8 +32,14 @@
 	VMUnknown = "unknown"
 	// VMNotListening means that no endpoint process listens on the VM, so that no run exists there.
 	VMNotListening = "absent"
+	// VMSilent means that the endpoint has not responded for so long that the leases of all runs have expired, so that no run is at work there. The
+	// agent renews no lease and executes no start until the endpoint has responded and the owner has numbered the agent process again.
+	VMSilent = "silent"
 )
 
+// HasNoRuns reports whether a VM in the state certainly has no run at work, whatever runs were known there before.
+func HasNoRuns(state string) bool { return state == VMNotListening || state == VMSilent }
+
 // Outcomes of runs. The owner starts the task again after all outcomes except RunDone, and counts only RunFailed as a failure of the task.
 const (
 	RunDone   = "done"
@@ -85,11 +91,16 @@
 		Rack        string          `json:"rack,omitempty"`
 		Labels      []string        `json:"labels,omitempty"`
 		Capacity    resource.Amount `json:"capacity"`
-		// State is VMUp, VMDraining, VMUnknown or VMNotListening.
+		// State is VMUp, VMDraining, VMUnknown, VMNotListening or VMSilent.
 		State string `json:"state"`
-		// Listed reports whether Runs and Results are complete: the current endpoint process has listed its runs and run results to the
-		// agent, and no start of an earlier agent process can take effect after that.
+		// Listed reports whether Runs is complete: the current endpoint process has listed its runs to the agent, and no start of an earlier
+		// agent process can take effect after that.
 		Listed bool `json:"listed"`
+		// ListAge is the time between the arrival of that list and the sending of the report.
+		ListAge time.Duration `json:"list-age,omitempty"`
+		// ResultsMissing reports that the endpoint may hold more run results than Results contains, because it lists only a limited number at a
+		// time. A run that is in neither list may then have ended with any outcome.
+		ResultsMissing bool `json:"results-missing,omitempty"`
 		// RemainingTime is the minimum time that a draining VM keeps running.
 		RemainingTime time.Duration `json:"remaining,omitempty"`
 		Runs          []Run         `json:"runs,omitempty"`
