Start nothing in a data centre that operators evacuate

Operators could not keep new work away from a data centre. Records with the key evacuate/NAME in the topic of the configuration now request that.

Each entry follows the set of evacuated data centres together with the configuration, from the store or from another entry; its version is the offset in the topic. The owner places nothing there, withdraws starts that it has not sent and repeats none. Its response to a report tells the agent, which refuses starts with the reason "evacuated", also further copies of those under way. Stops, paces and lists go on, running tasks stay. With EvacuationMs in the settings, an owner that does not know the set, or has not read the topic for EvacuationMs + MaxStretchMs, places nothing at all.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/inquirer"
+	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/storekeeper"
 )
@@ -98,6 +99,11 @@
 		modelRecordDue         bool
 		// inquirer chooses the requests to the Advisor and keeps its tickets.
 		inquirer inquirer.Inquirer
+		// evacuations is the set of evacuated data centres that the last plan used, or nil. evacuationsUnknown reports that the plan placed nothing because
+		// the set was unknown or too old.
+		// All VMs have their Evacuated according to this set.
+		evacuations        *evacuation.Set
+		evacuationsUnknown bool
 		// loadLoggedAt is when the total load was last logged.
 		loadLoggedAt time.Time
 	}
@@ -204,6 +210,7 @@
 		return
 	}
 	s.owning = false
+	c.clearEvacuationMeter(evacuatedDataCentres(s.evacuations))
 	c.Log.Info().Uint64("epoch", s.epoch).Str("reason", reason).Msg("this entry no longer owns the jobs")
 	for id, pending := range s.pendingSubmissions {
 		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: true}
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -15,6 +15,7 @@
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/batch/pacer"
 	"bamboohook/internal/fleet/committer"
+	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/meter"
 )
@@ -104,6 +105,12 @@
 		Address string
 		// OnOutdated is called when another entry has a newer configuration of the queues. It must not block. It may be nil.
 		OnOutdated func()
+		// Evacuations returns the set of evacuated data centres, or nil if none is known, and the time since the store certainly had no later record about
+		// them. If it is nil, no data centre is ever evacuated. Call WakePlanner when the set changes.
+		Evacuations func() (set *evacuation.Set, age time.Duration)
+		// MaxEvacuationAge is the age of the set from which on nothing is placed on any VM, since a data centre may be evacuated. The same holds while no
+		// set is known. 0 means that no bound applies, and that an unknown set counts as empty.
+		MaxEvacuationAge time.Duration
 		// MayGrantLeases reports whether agents may renew leases: it is true while no other entry can own the jobs.
 		MayGrantLeases func() bool
 		// MayShowStates reports whether callers may see the states of jobs. It is false after a pause of this process, in which another entry may have
@@ -132,6 +139,8 @@
 		reportSentMS   int64
 		incarnation    int64
 		endpointID     string
+		// dataCentre is the last reported data centre, or "" before one was reported.
+		dataCentre string
 		// reportedState is the state of the VM in the last report.
 		reportedState string
 		// runsListed reports whether the last report listed all runs of the endpoint process. unknownRuns reports that a row without a readable task
--- a/internal/batch/coordinator/orders.go
+++ b/internal/batch/coordinator/orders.go
@@ -58,6 +58,8 @@
 	switch {
 	case x.stopping:
 		kind, sentAt = stopOrder, x.stopSentAt
+	case !x.expectedInReports && x.vm.Evacuated:
+		// withdrawStarts decides what becomes of the run.
 	case !x.expectedInReports:
 		kind, sentAt = startOrder, x.startSentAt
 	case x.isBestEffort() && x.paceOrderDue():
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -183,6 +183,8 @@
 		return nil, nil
 	}
 	now := c.Clock.Now()
+	c.updateEvacuations()
+	c.withdrawStarts(now)
 	request := c.nextTicketRequest(c.placeTasks(now), now)
 	ordersByVM := map[string]messenger.Orders{}
 	for name, v := range c.vmsToSearch(now) {
@@ -294,7 +296,7 @@
 // usable reports whether tasks may start on the VM now if its circuit breaker allows it.
 func (c *Coordinator) usable(v *vm, now time.Time) bool {
 	if !v.recordStored || v.lastReportAt.IsZero() || !v.runsListed || v.reportedState != messenger.VMUp || now.Sub(v.lastReportAt) > maxReportAge || v.listAge > maxListAge ||
-		now.Before(v.unschedulableUntil) {
+		now.Before(v.unschedulableUntil) || v.Evacuated || c.state.evacuationsUnknown {
 		return false
 	}
 	// If the job of a run is unknown, the resources that the run takes are unknown too.
@@ -417,7 +419,10 @@
 // waits again. Otherwise an earlier copy may have started the run or may still do so. The run is then stopped, unless a report lists it
 // before: the stop keeps all copies from taking effect later, so that the next report shows whether the run exists.
 func (c *Coordinator) handleRefusal(x *run, reason string, now time.Time) {
-	x.vm.startsRefusedAt = now
+	if reason != messenger.ReasonEvacuated {
+		// After the withdrawal, the VM accepts starts like any other.
+		x.vm.startsRefusedAt = now
+	}
 	c.Meter.Count("starts-refused")
 	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("reason", reason).Int("sent", x.startsSent).
 		Str("generation", x.vm.agentGeneration).Msg("agent refused to start a run")
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -28,8 +28,8 @@
 	maxUnlistedTime = 2 * time.Second
 )
 
-// Report processes the report of an agent. The response says up to which sequence number run results are recorded, and whether the agent may
-// renew leases. The caller of Report must set the addresses of the owner and of all entries in the response.
+// Report processes the report of an agent. The response says up to which sequence number run results are recorded, whether the agent may
+// renew leases, and whether its data centre is evacuated. The caller of Report must set the addresses of the owner and of all entries in the response.
 func (c *Coordinator) Report(r messenger.Report) messenger.ReportResponse {
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
@@ -37,6 +37,15 @@
 	if !s.owning || r.Epoch > s.epoch {
 		return messenger.ReportResponse{Epoch: s.epoch}
 	}
+	c.updateEvacuations()
+	response := c.processReport(r)
+	response.Evacuated = c.evacuatedIn(r)
+	return response
+}
+
+// processReport processes the report of an agent to the owner. The caller holds the mutex.
+func (c *Coordinator) processReport(r messenger.Report) messenger.ReportResponse {
+	s := &c.state
 	granted := c.MayGrantLeases()
 	v, ok := s.vms[r.VM]
 	if !ok {
@@ -106,7 +115,7 @@
 // newVM returns a VM without runs.
 func (c *Coordinator) newVM(name string) *vm {
 	return &vm{
-		VM: dispatcher.VM{Name: name}, runs: map[string]*run{}, unrecordedSequences: map[int64]struct{}{},
+		VM: dispatcher.VM{Name: name, Evacuated: c.state.evacuations.Forbids("")}, runs: map[string]*run{}, unrecordedSequences: map[int64]struct{}{},
 		pacer: pacer.Pacer{MissTolerance: c.Limits.MissTolerance},
 	}
 }
@@ -139,6 +148,10 @@
 	}
 	v.reportedState, v.runsListed, v.unknownRuns, v.remainingTime = r.State, r.Listed, r.UnknownRuns, r.RemainingTime
 	v.listAge, v.resultsMissing = r.ListAge, r.ResultsMissing
+	if r.DataCentre != "" {
+		v.dataCentre = r.DataCentre
+		v.Evacuated = c.state.evacuations.Forbids(v.dataCentre)
+	}
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
 	}
--- a/internal/batch/coordinator/summary.go
+++ b/internal/batch/coordinator/summary.go
@@ -43,10 +43,12 @@
 		}
 	})
 	c.logLongestWaiting(now)
+	evacuatedVMs, evacuatedRuns := c.meterEvacuations()
 	knownJobs, liveJobs := c.state.jobs.CountJobs()
 	c.Log.Info().Int("jobs", knownJobs).Int("live", liveJobs).Int("waiting", waitingTasks).Int("waiting-filling", waitingBestEffortTasks).Int("runs", len(c.state.runs)).
 		Int("vms", len(c.state.vms)).Int("strained", vmsMissingTargets).Int64("slowed", throttledRuns).Int64("capacity", totalProcessors).Int64("reserved", reservedProcessors).
-		Int64("serving", longRunningProcessors).Int64("filling", bestEffortProcessors).Int64("filling-used", bestEffortProcessorsUsed).Uint64("epoch", c.state.epoch).Msg("total load of all VMs")
+		Int64("serving", longRunningProcessors).Int64("filling", bestEffortProcessors).Int64("filling-used", bestEffortProcessorsUsed).Uint64("epoch", c.state.epoch).
+		Int("evacuated-vms", evacuatedVMs).Int("evacuated-runs", evacuatedRuns).Msg("total load of all VMs")
 }
 
 // logLongestWaiting logs which task has waited longest and why it does not start: on how many VMs it must not start now, by reason.
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -109,6 +109,8 @@
 const (
 	// RefusedUnschedulable means that no task may start on the VM.
 	RefusedUnschedulable = "unschedulable"
+	// RefusedEvacuated means that nothing may start in the data centre of the VM.
+	RefusedEvacuated = "evacuated"
 	// RefusedHeld means that the VM is held for a starving step.
 	RefusedHeld = "held"
 	// RefusedStartsRefused means that the last start on the VM was refused, and that another VM is held for the step.
@@ -351,6 +353,8 @@
 func (d *Dispatcher) mayStart(r request, v *VM) (score, string) {
 	t := r.task
 	switch {
+	case v.Evacuated:
+		return score{}, RefusedEvacuated
 	case !v.Schedulable:
 		return score{}, RefusedUnschedulable
 	case d.isHeldAgainst(t.Step, v):
--- a/internal/batch/dispatcher/score.go
+++ b/internal/batch/dispatcher/score.go
@@ -126,7 +126,7 @@
 	// A task that needs more than the long-running tasks leave on any VM starts where they leave most.
 	most := 0.0
 	for _, v := range d.vms {
-		if v.Service == service && v.CanHost(s.Step) {
+		if v.Service == service && !v.Evacuated && v.CanHost(s.Step) {
 			most = max(most, d.processorsBesideLongRunning(v))
 		}
 	}
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -19,6 +19,8 @@
 	Capacity resource.Amount
 	// Schedulable reports whether tasks may start on the VM.
 	Schedulable bool
+	// Evacuated reports whether nothing may start on the VM because its data centre is evacuated. Schedulable and SchedulableSoon are then false.
+	Evacuated bool
 	// SchedulableSoon reports whether only a circuit breaker keeps tasks from starting on the VM, which allows a start within a bound. Such a VM may be held
 	// for a starving step: a gang would not start while other tasks use the probes of its VMs one by one.
 	SchedulableSoon bool
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -73,9 +73,14 @@
 		Source: store, PeerClient: peerClient, Clock: clock, Log: logger, Meter: e.meter, CongestionTime: congestionTime(settings),
 		MaxAge:                max(settings.ConfigTime-configurationMargin, 0),
 		PeersWithNewerVersion: e.elector.PeersWithNewerVersion, PeerConfirmation: e.elector.ConfigurationConfirmedAt,
-		OnStoreResponse: e.elector.RecordStoreContact, OnChange: e.applyRoutes,
+		PeersWithNewerEvacuations: e.elector.PeersWithNewerEvacuations,
+		OnStoreResponse:           e.elector.RecordStoreContact, OnChange: e.applyRoutes,
 	}
 	e.elector.ConfigurationState = e.subscriber.State
+	e.elector.EvacuationVersion = func() int64 {
+		set, _ := e.subscriber.Evacuations()
+		return set.VersionOrZero()
+	}
 	e.coordinator = &coordinator.Coordinator{
 		Agents: peerClient, Journal: e.committer, Clock: clock, WallClock: wallClock{}, Log: logger, Meter: e.meter, Address: settings.PeerAddress,
 		Leases: coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
@@ -87,7 +92,12 @@
 		MayShowStates:  e.elector.MayShowStates,
 		OwnedAt:        e.elector.OwnedAt,
 		OnOutdated:     e.subscriber.Check,
+		Evacuations:    e.subscriber.Evacuations,
+	}
+	if settings.EvacuationTime > 0 {
+		e.coordinator.MaxEvacuationAge = settings.EvacuationTime + settings.EvacuationStretch
 	}
+	e.subscriber.OnEvacuationChange = e.coordinator.WakePlanner
 	if settings.AdviceAddress != "" {
 		advisor := platform.NewAdvisor(settings.AdviceAddress)
 		advisor.Log = logger
@@ -221,7 +231,8 @@
 		return e.handleReport(r), nil
 	})
 	s.Handle(messenger.MethodConfiguration, func(context.Context, json.RawMessage) (any, error) {
-		return e.subscriber.Configuration(), nil
+		evacuations, age := e.subscriber.Evacuations()
+		return messenger.Configuration{Configuration: e.subscriber.Configuration(), Evacuations: evacuations, EvacuationAge: max(age, 1)}, nil
 	})
 	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount} {
 		s.Handle(method, func(_ context.Context, params json.RawMessage) (any, error) {
@@ -250,7 +261,7 @@
 	response.Owner, response.Epoch = e.elector.Owner()
 	response.Entries, response.EntryCount = e.elector.Contacts()
 	if response.Owner != e.settings.PeerAddress || response.Epoch != ownedEpoch {
-		response.Granted, response.Session, response.Outdated = false, 0, false
+		response.Granted, response.Session, response.Outdated, response.Evacuated = false, 0, false, false
 	}
 	return response
 }
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -245,6 +245,7 @@
 		return false
 	}
 	a.updateSession(response, r)
+	a.updateEvacuated(response, target)
 	a.ownerReportInterval = min(response.ReportInterval, maxReportInterval)
 	if response.Granted {
 		if until := sentAt.Add(a.LeaseDurations.Grant); until.After(a.grantedUntil) {
@@ -267,7 +268,7 @@
 		VM: a.Address, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, SentMS: a.millisSinceProcessStart(now), Incarnation: a.incarnation,
 		State: messenger.VMUnknown, Listed: a.listed, Results: a.pendingResults[:len(a.pendingResults):len(a.pendingResults)],
 		UnreadableTasks: a.unreadableTasks, UnnamedRuns: a.unnamedRuns, UnknownRuns: a.listed && !a.allRunsKnown,
-		ResultsMissing: a.listed && a.resultsMissing,
+		ResultsMissing: a.listed && a.resultsMissing, Evacuated: a.evacuated,
 	}
 	if a.listed {
 		r.ListAge = now.Sub(a.lastResponseAt).Truncate(time.Millisecond)
@@ -335,6 +336,27 @@
 	}
 }
 
+// updateEvacuated stores whether the data centre is evacuated. A copy of a start that is under way when the evacuation begins gets no successor, and the next
+// call carries a higher fencing token, so that the endpoint does not execute the copy after that. The caller holds the mutex.
+func (a *Attendant) updateEvacuated(response messenger.ReportResponse, owner string) {
+	if response.Evacuated == a.evacuated {
+		return
+	}
+	a.evacuated = response.Evacuated
+	message, counter, value := "evacuation of the data centre ends", "evacuations-ended", int64(0)
+	if a.evacuated {
+		message, counter, value = "evacuation of the data centre begins", "evacuations-begun", 1
+		if a.startsInProgress > 0 {
+			a.raiseToken()
+			a.requestList()
+		}
+	}
+	a.Meter.Count(counter)
+	a.Meter.Set("evacuated", value)
+	a.Log.Info().Str("data-centre", a.heartbeat.DataCentre).Str("from", owner).Uint64("epoch", response.Epoch).Dur("age", a.Clock.Now().Sub(a.reportedAt)).
+		Int("starts-in-progress", a.startsInProgress).Int("runs", len(a.runs)).Msg(message)
+}
+
 // renewGeneration makes this process act like a new agent process: it requests a new number from the owner, and counts the runs as unlisted
 // until the endpoint has listed them under the token of that number. The caller holds the mutex.
 func (a *Attendant) renewGeneration(reason string) {
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -172,6 +172,8 @@
 		entries []string
 		// discovering reports whether a call of DiscoverEntries is in progress.
 		discovering bool
+		// evacuated reports whether nothing may be started because the data centre is evacuated, according to the last response of an owner.
+		evacuated bool
 		// grantedUntil is when the agent must stop renewing leases, because its grant ends.
 		grantedUntil time.Time
 		// heartbeat is the newest heartbeat. deregistered reports whether the endpoint process that sent it has announced its
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -32,6 +32,7 @@
 	ReasonNoGrant          = "no-grant"
 	ReasonEndpointSilent   = "endpoint-silent"
 	ReasonDraining         = "draining"
+	ReasonEvacuated        = messenger.ReasonEvacuated
 	ReasonNoCapacity       = "no-room"
 	ReasonOtherRun         = "other-run"
 	ReasonStopped          = "stopped"
@@ -39,8 +40,12 @@
 	ReasonNotRunning       = "not-running"
 )
 
-// errSuperseded reports that a later order for the pace of the same run has arrived.
-var errSuperseded = eris.New("attendant: a later pace has been ordered")
+var (
+	// errEvacuated reports that no start may be sent to the endpoint because its data centre is evacuated.
+	errEvacuated = eris.New("attendant: the data centre is evacuated")
+	// errSuperseded reports that a later order for the pace of the same run has arrived.
+	errSuperseded = eris.New("attendant: a later pace has been ordered")
+)
 
 // HandleOrders executes the orders of an owner and returns when all of its calls to the endpoint have ended. It rejects all of the orders
 // if the owner's epoch is lower than the highest known one, if they are meant for another agent process or refer to another endpoint process,
@@ -139,6 +144,10 @@
 		// run, and the endpoint then rejects the others.
 		a.removeRun(x)
 		outcome.Reason = err.Error()
+		if errors.Is(err, errEvacuated) {
+			outcome.Reason = ReasonEvacuated
+			a.countEvacuationRefusal(s)
+		}
 	default:
 		// The next list request carries a higher fencing token than all copies, which keeps the endpoint from executing them later. Its
 		// response therefore shows whether the run exists.
@@ -158,7 +167,7 @@
 // isFinalRejection reports whether err proves that a call to the endpoint has no effect and need not be repeated. It returns false for
 // ErrFenced, after which the call is repeated with a higher token.
 func isFinalRejection(err error) bool {
-	return errors.Is(err, ErrRefused) || errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrNotListening)
+	return errors.Is(err, ErrRefused) || errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrNotListening) || errors.Is(err, errEvacuated)
 }
 
 // reserveCapacity reserves capacity for a run that o orders. If the start must not be sent to the endpoint, it returns nil and the outcome and reason of
@@ -189,6 +198,10 @@
 	if a.highestStopped[s.Task] >= s.Number {
 		return nil, messenger.StartRefused, ReasonStopped
 	}
+	if a.evacuated {
+		a.countEvacuationRefusal(s)
+		return nil, messenger.StartRefused, ReasonEvacuated
+	}
 	// Without a heartbeat of the current endpoint process its capacity is unknown. The reason is then the same as for a draining endpoint.
 	if a.heartbeat.Draining || a.deregistered || a.heartbeat.Incarnation != a.incarnation || a.heartbeat.EndpointID == "" {
 		return nil, messenger.StartRefused, ReasonDraining
@@ -205,6 +218,12 @@
 	return x, "", ""
 }
 
+// countEvacuationRefusal counts and logs a start that is refused because the data centre is evacuated.
+func (a *Attendant) countEvacuationRefusal(s messenger.Start) {
+	a.Meter.Count("starts-refused-evacuated")
+	a.Log.Info().Str("task", s.Task).Int("run", s.Number).Str("reason", ReasonEvacuated).Msg("start refused")
+}
+
 // reservedSize returns the part of a run's size that is reserved. Best-effort runs reserve no processors, because they use only those that
 // other runs leave idle.
 func reservedSize(size resource.Amount, bestEffort bool) resource.Amount {
@@ -290,7 +309,7 @@
 }
 
 // composeStart returns the next copy of the start of the run x. Its token is above lastToken, that of the copy before. listed reports that none is
-// needed because the endpoint has listed the run. The error is ErrRefused if the agent has no grant to renew leases, and ErrOtherIncarnation if the
+// needed because the endpoint has listed the run. The error is errEvacuated if the data centre is evacuated, ErrRefused if the agent has no grant to renew leases, and ErrOtherIncarnation if the
 // endpoint process for which the run was ordered has been replaced.
 func (a *Attendant) composeStart(x *run, s messenger.Start, lastToken uint64) (c StartCall, listed bool, err error) {
 	a.mutex.Lock()
@@ -303,6 +322,9 @@
 		return c, true, nil
 	}
 	now := a.Clock.Now()
+	if a.evacuated {
+		return c, false, errEvacuated
+	}
 	if !now.Before(a.grantedUntil) || a.endpointOverdue(now) {
 		return c, false, ErrRefused
 	}
--- a/internal/fleet/caller/caller.go
+++ b/internal/fleet/caller/caller.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"bamboohook/internal/fleet/messenger"
-	"bamboohook/internal/fleet/routetable"
 	"bamboohook/internal/peer"
 )
 
@@ -55,9 +54,9 @@
 	return response, err
 }
 
-// FetchConfiguration requests the configuration that the entry at the address entry uses.
-func (c *Client) FetchConfiguration(ctx context.Context, entry string) (*routetable.Configuration, error) {
-	var configuration *routetable.Configuration
+// FetchConfiguration requests the configuration that the entry at the address entry uses, and the evacuated data centres that it knows.
+func (c *Client) FetchConfiguration(ctx context.Context, entry string) (messenger.Configuration, error) {
+	var configuration messenger.Configuration
 	err := c.call(ctx, entry, messenger.MethodConfiguration, struct{}{}, &configuration)
 	return configuration, err
 }
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -108,6 +108,8 @@
 		// ConfigurationState returns the version of this entry's configuration and the time since the store, asked by this entry, had no newer
 		// one. It may be nil.
 		ConfigurationState func() (version int64, age time.Duration)
+		// EvacuationVersion returns the version of the set of evacuated data centres that this entry knows, or 0. It may be nil.
+		EvacuationVersion func() int64
 		// OnOwnershipGained is called with the newest record of each key when this entry becomes the owner of an epoch.
 		// OnOwnershipLost is called when it ceases to be the owner, asynchronously and perhaps with a delay.
 		OnOwnershipGained func(epoch uint64, records []storekeeper.Record)
@@ -183,17 +185,28 @@
 // PeersWithNewerVersion returns the addresses of live entries that have a configuration with a version above the given one, at most
 // maxConfigurationPeers: those with the highest version first, and of these the ones with the highest weight.
 func (e *Elector) PeersWithNewerVersion(version int64) []string {
+	return e.peersAbove(version, func(p messenger.Ping) int64 { return p.Version })
+}
+
+// PeersWithNewerEvacuations returns the addresses of live entries that have a set of evacuated data centres with a version above the given one, like
+// PeersWithNewerVersion.
+func (e *Elector) PeersWithNewerEvacuations(version int64) []string {
+	return e.peersAbove(version, func(p messenger.Ping) int64 { return p.EvacuationVersion })
+}
+
+// peersAbove returns the addresses of live entries in whose last ping the number is above the given one, as described at PeersWithNewerVersion.
+func (e *Elector) peersAbove(limit int64, number func(p messenger.Ping) int64) []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.Clock.Now()
 	var newer []*peer
 	for _, p := range e.peers {
-		if p.lastPing.Version > version && e.isLive(p, now) {
+		if number(p.lastPing) > limit && e.isLive(p, now) {
 			newer = append(newer, p)
 		}
 	}
 	slices.SortFunc(newer, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(b.lastPing.Version, a.lastPing.Version), cmp.Compare(b.weight, a.weight), cmp.Compare(a.precedence, b.precedence))
+		return cmp.Or(cmp.Compare(number(b.lastPing), number(a.lastPing)), cmp.Compare(b.weight, a.weight), cmp.Compare(a.precedence, b.precedence))
 	})
 	var addresses []string
 	for _, p := range newer[:min(len(newer), maxConfigurationPeers)] {
--- a/internal/fleet/elector/peers.go
+++ b/internal/fleet/elector/peers.go
@@ -167,6 +167,9 @@
 		}
 		p.ConfigurationAge = max(age, 1)
 	}
+	if e.EvacuationVersion != nil {
+		p.EvacuationVersion = e.EvacuationVersion()
+	}
 	o, ok := e.peers[e.owner]
 	switch {
 	case e.isOwner:
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"bamboohook/internal/batch/job"
+	"bamboohook/internal/fleet/evacuation"
+	"bamboohook/internal/fleet/routetable"
 	"bamboohook/resource"
 )
 
@@ -68,6 +70,9 @@
 	StartUnknown = "unclear"
 )
 
+// ReasonEvacuated is the reason with which an agent refuses a start because its data centre is evacuated.
+const ReasonEvacuated = "evacuated"
+
 type (
 	// Report is the state of a VM and its endpoint, which the agent on the VM sends to the owner.
 	Report struct {
@@ -101,6 +106,8 @@
 		// ResultsMissing reports that the endpoint may hold more run results than Results contains, because it lists only a limited number at a
 		// time. A run that is in neither list may then have ended with any outcome.
 		ResultsMissing bool `json:"results-missing,omitempty"`
+		// Evacuated is the one of the last response that the agent process has used.
+		Evacuated bool `json:"evacuated,omitempty"`
 		// RemainingTime is the minimum time that a draining VM keeps running.
 		RemainingTime time.Duration `json:"remaining,omitempty"`
 		Runs          []Run         `json:"runs,omitempty"`
@@ -157,6 +164,8 @@
 		// Outdated means that a later process of the VM has received a number, so that the sender must act like a new process.
 		Session  uint64 `json:"session,omitempty"`
 		Outdated bool   `json:"outdated,omitempty"`
+		// Evacuated means that nothing may be started in the data centre of the report. Only the owner's response says so.
+		Evacuated bool `json:"evacuated,omitempty"`
 		// Granted permits the agent to renew the leases of runs for a limited time, which both sides are configured with. The time
 		// counts from the sending of the report.
 		Granted bool `json:"granted"`
@@ -262,6 +271,8 @@
 		// ConfigurationAge is the time since the store certainly had no newer configuration than that, as far as the sender knows. 0 means that it does
 		// not tell.
 		ConfigurationAge time.Duration `json:"configuration-age,omitempty"`
+		// EvacuationVersion is the version of the sender's set of evacuated data centres, or 0 if the sender knows none.
+		EvacuationVersion int64 `json:"evacuation-version,omitempty"`
 		// Weight is the priority of the entry in the election of an owner. It increases with the entry's processor share and
 		// bandwidth.
 		Weight float64 `json:"weight"`
@@ -275,6 +286,14 @@
 		Peers []RelayedEntry `json:"peers,omitempty"`
 	}
 
+	// Configuration is what an entry knows of the operators' topic. The configuration is nil if the entry has none. Evacuations is nil if the entry does
+	// not know the evacuated data centres, and EvacuationAge the time since the store certainly had no later record about them.
+	Configuration struct {
+		*routetable.Configuration
+		Evacuations   *evacuation.Set `json:"evacuations,omitempty"`
+		EvacuationAge time.Duration   `json:"evacuation-age,omitempty"`
+	}
+
 	// RelayedEntry is what the sender of a ping knows about another entry.
 	RelayedEntry struct {
 		Address string  `json:"address"`
--- a/internal/fleet/meter/meter.go
+++ b/internal/fleet/meter/meter.go
@@ -40,6 +40,19 @@
 	m.counters[name]++
 }
 
+// Set sets the counter with the name to a value that may also fall, such as a number of things that exist now.
+func (m *Meter) Set(name string, value int64) {
+	if m == nil {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.counters == nil {
+		m.counters = map[string]int64{}
+	}
+	m.counters[name] = value
+}
+
 // Observe adds a latency to the histogram with the name. Latencies above one minute are recorded as one minute.
 func (m *Meter) Observe(name string, d time.Duration) {
 	if m == nil {
--- a/internal/fleet/storekeeper/storekeeper.go
+++ b/internal/fleet/storekeeper/storekeeper.go
@@ -3,6 +3,8 @@
 
 import (
 	"github.com/rotisserie/eris"
+
+	"bamboohook/internal/fleet/routetable"
 )
 
 // Record is a value stored under a key. Later records replace earlier ones of the same key. An empty value deletes the key.
@@ -29,6 +31,17 @@
 	Epoch uint64 `json:"epoch,omitempty"`
 }
 
+// Publication is what a read of the operators' topic has returned.
+type Publication struct {
+	// Configuration is the newest valid configuration among the records, or nil if there is none.
+	Configuration *routetable.Configuration
+	// Evacuations holds, by data centre, what the newest of its records says: true requests that nothing be started there, false withdraws the request. It
+	// is nil if the read has failed.
+	Evacuations map[string]bool
+	// Partial reports that records without a readable key were left out. The absence of a key then does not show that the store has no such record.
+	Partial bool
+}
+
 // Errors of calls to the store. After any other error of an append it is unknown whether the batch was or will be appended. That also holds
 // for a batch that was sent several times, unless each of the appends has returned ErrNotAppended or ErrFenced.
 var (
--- a/internal/fleet/subscriber/follower.go
+++ b/internal/fleet/subscriber/follower.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"bamboohook/internal/fleet/routetable"
+	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/storekeeper"
 )
 
@@ -41,6 +41,9 @@
 		// offset is where the next read begins. loaded reports whether it is known.
 		offset int64
 		loaded bool
+		// evacuations is the set of evacuated data centres after the records below offset, or nil before the first load. The set of the subscriber may be
+		// newer, if it came from another entry.
+		evacuations *evacuation.Set
 		// behind reports whether there were newer versions than the one that was last read.
 		behind bool
 		// reads are those in progress, in the order of their starts.
@@ -64,12 +67,12 @@
 
 	// result is the outcome of a read.
 	result struct {
-		read          *read
-		configuration *routetable.Configuration
-		offset        int64
-		more          bool
-		isLoad        bool
-		err           error
+		read        *read
+		publication storekeeper.Publication
+		offset      int64
+		more        bool
+		isLoad      bool
+		err         error
 	}
 )
 
@@ -152,9 +155,9 @@
 		defer cancel()
 		result := result{read: r, isLoad: !loaded}
 		if loaded {
-			result.configuration, result.offset, result.more, result.err = s.Source.FollowConfiguration(readCtx, offset, r.wait, progress)
+			result.publication, result.offset, result.more, result.err = s.Source.FollowConfiguration(readCtx, offset, r.wait, progress)
 		} else {
-			result.configuration, result.offset, result.err = s.Source.LoadConfiguration(readCtx, progress)
+			result.publication, result.offset, result.err = s.Source.LoadConfiguration(readCtx, progress)
 		}
 		select {
 		case f.results <- result:
@@ -224,6 +227,8 @@
 	case r.err != nil:
 		f.drop(func(other *read) bool { return other == r.read })
 		f.retryAt = now.Add(retryPause)
+		// A load that finds only invalid configurations still shows the evacuations.
+		f.applyEvacuations(r, r.read.startedAt)
 		s.Meter.Count("configuration-reads-failed")
 		s.Log.Warn().Err(r.err).Int64("version", s.Version()).Dur("duration", now.Sub(r.read.startedAt)).Int("in-progress", len(f.reads)).
 			Msg("failed to read the configuration from the store")
@@ -238,31 +243,50 @@
 func (f *follower) apply(r result, now time.Time) {
 	s := f.subscriber
 	versionBefore := s.Version()
-	s.setIfNewer(r.configuration, sourceStore, "", now.Sub(r.read.startedAt))
+	configuration := r.publication.Configuration
+	s.setIfNewer(configuration, sourceStore, "", now.Sub(r.read.startedAt))
 	f.offset = r.offset
 	if r.isLoad {
-		if r.configuration != nil {
+		f.applyEvacuations(r, r.read.startedAt)
+		if configuration != nil {
 			s.confirm(r.read.startedAt)
 		}
 		if s.Version() == versionBefore {
 			f.behind, f.retryAt = false, now.Add(retryPause)
 		}
-		f.loaded = r.configuration != nil && !(f.behind && now.Sub(r.read.startedAt) >= slowLoad)
+		f.loaded = configuration != nil && !(f.behind && now.Sub(r.read.startedAt) >= slowLoad)
 		return
 	}
-	if r.more {
-		// Only the newest of the versions that have come in the meantime is needed.
-		f.loaded, f.behind = false, true
+	if r.more || r.publication.Partial {
+		// Only the newest of the versions that have come in the meantime is needed. A record without a readable key may have been about any key, which the
+		// newest records show.
+		f.applyEvacuations(r, time.Time{})
+		f.loaded, f.behind = false, r.more
 		return
 	}
 	confirmedAt := r.read.startedAt
-	if waited := now.Sub(confirmedAt); r.configuration == nil && waited >= r.read.wait {
+	if waited := now.Sub(confirmedAt); configuration == nil && len(r.publication.Evacuations) == 0 && waited >= r.read.wait {
 		// The store sends a response without records only at the end of the wait.
 		confirmedAt = confirmedAt.Add(r.read.wait)
 	}
+	f.applyEvacuations(r, confirmedAt)
 	s.confirm(confirmedAt)
 }
 
+// applyEvacuations uses what the response to a read says about the evacuations. A load replaces the set, unless records were left out: a request may be one
+// of these. The records of another read change it.
+func (f *follower) applyEvacuations(r result, confirmedAt time.Time) {
+	if r.publication.Evacuations == nil {
+		return
+	}
+	set := f.evacuations.With(r.publication.Evacuations, r.offset)
+	if r.isLoad && !r.publication.Partial {
+		set = evacuation.New(r.publication.Evacuations, r.offset)
+	}
+	f.evacuations = set
+	f.subscriber.setEvacuations(set, confirmedAt, sourceStore, "")
+}
+
 // latest returns the later of the times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/fleet/subscriber/lag_test.go
+++ b/internal/fleet/subscriber/lag_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/routetable"
 	"bamboohook/internal/fleet/sleeper"
+	"bamboohook/internal/fleet/storekeeper"
 	"bamboohook/internal/fleet/subscriber"
 )
 
@@ -144,30 +146,30 @@
 	e.idleConnections = append(e.idleConnections, openedAt)
 }
 
-func (e *simEntry) LoadConfiguration(ctx context.Context, progress func()) (*routetable.Configuration, int64, error) {
+func (e *simEntry) LoadConfiguration(ctx context.Context, progress func()) (storekeeper.Publication, int64, error) {
 	openedAt, ok := e.send(ctx)
 	if !ok || !e.answers(ctx, openedAt) {
-		return nil, 0, ctx.Err()
+		return storekeeper.Publication{}, 0, ctx.Err()
 	}
 	s := e.store
 	s.mutex.Lock()
 	end := len(s.versions)
 	s.mutex.Unlock()
 	if end == 0 {
-		return nil, 0, nil
+		return storekeeper.Publication{Evacuations: map[string]bool{}}, 0, nil
 	}
 	// The newest records are sent in base64.
 	if !e.transfer(ctx, s.bytes*4/3, progress) || !e.answers(ctx, openedAt) {
-		return nil, 0, ctx.Err()
+		return storekeeper.Publication{}, 0, ctx.Err()
 	}
 	e.release(openedAt)
-	return &routetable.Configuration{Version: int64(3 * end)}, int64(end), nil
+	return storekeeper.Publication{Configuration: &routetable.Configuration{Version: int64(3 * end)}, Evacuations: map[string]bool{}}, int64(end), nil
 }
 
-func (e *simEntry) FollowConfiguration(ctx context.Context, offset int64, wait time.Duration, progress func()) (*routetable.Configuration, int64, bool, error) {
+func (e *simEntry) FollowConfiguration(ctx context.Context, offset int64, wait time.Duration, progress func()) (storekeeper.Publication, int64, bool, error) {
 	openedAt, ok := e.send(ctx)
 	if !ok || !e.answers(ctx, openedAt) {
-		return nil, 0, false, ctx.Err()
+		return storekeeper.Publication{}, 0, false, ctx.Err()
 	}
 	s := e.store
 	timeout := time.After(wait)
@@ -187,7 +189,7 @@
 		case <-timeout:
 			waiting = false
 		case <-ctx.Done():
-			return nil, 0, false, ctx.Err()
+			return storekeeper.Publication{}, 0, false, ctx.Err()
 		}
 	}
 	s.mutex.Lock()
@@ -198,28 +200,28 @@
 		bytes = 0
 	}
 	if !e.answers(ctx, openedAt) || !e.transfer(ctx, bytes, progress) || !e.answers(ctx, openedAt) {
-		return nil, 0, false, ctx.Err()
+		return storekeeper.Publication{}, 0, false, ctx.Err()
 	}
 	e.release(openedAt)
 	if end == offset {
-		return nil, offset, false, nil
+		return storekeeper.Publication{Evacuations: map[string]bool{}}, offset, false, nil
 	}
-	return &routetable.Configuration{Version: 3 * (offset + 1)}, offset + 1, end > offset+1, nil
+	return storekeeper.Publication{Configuration: &routetable.Configuration{Version: 3 * (offset + 1)}, Evacuations: map[string]bool{}}, offset + 1, end > offset+1, nil
 }
 
-func (e *simEntry) FetchConfiguration(ctx context.Context, _ string) (*routetable.Configuration, error) {
+func (e *simEntry) FetchConfiguration(ctx context.Context, _ string) (messenger.Configuration, error) {
 	e.mutex.Lock()
 	e.fetches++
 	e.mutex.Unlock()
 	for _, other := range e.others {
 		if configuration := other.subscriber.Configuration(); configuration != nil && configuration.Version > e.subscriber.Version() {
 			if !e.transfer(ctx, e.store.bytes, func() {}) {
-				return nil, ctx.Err()
+				return messenger.Configuration{}, ctx.Err()
 			}
-			return configuration, nil
+			return messenger.Configuration{Configuration: configuration}, nil
 		}
 	}
-	return nil, errors.New("no other entry has a newer one")
+	return messenger.Configuration{}, errors.New("no other entry has a newer one")
 }
 
 // newerPeers returns another entry if it has used a newer version for simGossipTime.
--- a/internal/fleet/subscriber/peers.go
+++ b/internal/fleet/subscriber/peers.go
@@ -41,6 +41,10 @@
 	defer group.Wait()
 	for s := p.subscriber; ctx.Err() == nil; sleeper.Sleep(ctx, peerCheckInterval) {
 		entries := s.PeersWithNewerVersion(s.Version())
+		if len(entries) == 0 && s.PeersWithNewerEvacuations != nil {
+			set, _ := s.Evacuations()
+			entries = s.PeersWithNewerEvacuations(set.VersionOrZero())
+		}
 		behind := s.recordLag(len(entries) > 0)
 		if len(entries) == 0 {
 			p.attempts = 0
@@ -85,5 +89,10 @@
 		s.Log.Warn().Err(err).Str("entry", entry).Int64("version", s.Version()).Dur("duration", duration).Msg("failed to fetch the configuration from another entry")
 		return
 	}
-	s.setIfNewer(configuration, sourcePeer, entry, duration)
+	s.setIfNewer(configuration.Configuration, sourcePeer, entry, duration)
+	confirmedAt := time.Time{}
+	if configuration.EvacuationAge > 0 {
+		confirmedAt = startedAt.Add(-configuration.EvacuationAge)
+	}
+	s.setEvacuations(configuration.Evacuations, confirmedAt, sourcePeer, entry)
 }
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -1,17 +1,21 @@
-// Package subscriber keeps an entry's copy of the configuration up to date. It reads the configuration from the store and, if that fails,
-// from other entries. A read that gets no response, a slow link or a quick succession of versions delays a change only by a bounded time.
+// Package subscriber keeps an entry's copy of the configuration and of the set of evacuated data centres up to date. It reads both from the store and, if
+// that fails, from other entries. A read that gets no response, a slow link or a quick succession of versions delays a change only by a bounded time.
 package subscriber
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"bamboohook/internal/fleet/evacuation"
+	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/meter"
 	"bamboohook/internal/fleet/routetable"
+	"bamboohook/internal/fleet/storekeeper"
 )
 
 // The sources of a configuration, for logs and metrics.
@@ -31,21 +35,23 @@
 type (
 	// Source is the store in which operators publish configurations.
 	Source interface {
-		// LoadConfiguration returns the newest configuration, or nil if there is none, and the offset for the first call of
-		// FollowConfiguration. It calls progress whenever a part of the response has arrived.
-		LoadConfiguration(ctx context.Context, progress func()) (*routetable.Configuration, int64, error)
-		// FollowConfiguration returns the newest of the configurations that were published at or after the offset, or nil if none is published
-		// within the wait, and the offset for the next call. more reports whether there already are records at that offset. It returns
-		// storekeeper.ErrDeleted if records at the offset were deleted. It calls progress whenever a part of the response has arrived.
-		FollowConfiguration(ctx context.Context, offset int64, wait time.Duration, progress func()) (configuration *routetable.Configuration, next int64, more bool, err error)
+		// LoadConfiguration returns the newest configuration and the requested evacuations of all data centres, and the offset for the first call of
+		// FollowConfiguration. It calls progress whenever a part of the response has arrived. If there are only invalid configurations, it returns an
+		// error together with the evacuations.
+		LoadConfiguration(ctx context.Context, progress func()) (storekeeper.Publication, int64, error)
+		// FollowConfiguration returns the newest of the configurations and the evacuations that were published at or after the offset, or an empty
+		// publication if nothing is published within the wait, and the offset for the next call. more reports whether there already are records at
+		// that offset. It returns storekeeper.ErrDeleted if records at the offset were deleted. It calls progress whenever a part of the response has
+		// arrived.
+		FollowConfiguration(ctx context.Context, offset int64, wait time.Duration, progress func()) (publication storekeeper.Publication, next int64, more bool, err error)
 		// CloseIdleConnections makes the next call use a new connection, because the open ones may be dead.
 		CloseIdleConnections()
 	}
 
 	// PeerClient is a client of the other entries.
 	PeerClient interface {
-		// FetchConfiguration returns the configuration that the entry at the address entry uses.
-		FetchConfiguration(ctx context.Context, entry string) (*routetable.Configuration, error)
+		// FetchConfiguration returns the configuration that the entry at the address entry uses, and the evacuated data centres that it knows.
+		FetchConfiguration(ctx context.Context, entry string) (messenger.Configuration, error)
 	}
 
 	// Clock is a clock that keeps running while the machine is suspended.
@@ -53,7 +59,7 @@
 		Now() time.Time
 	}
 
-	// Subscriber holds the configuration of one entry. Its version never decreases. Set the exported fields before calling Run.
+	// Subscriber holds the configuration and the evacuated data centres of one entry. Their versions never decrease. Set the exported fields before calling Run.
 	// Subscriber is safe for concurrent use.
 	Subscriber struct {
 		Source     Source
@@ -68,12 +74,16 @@
 		MaxAge time.Duration
 		// PeersWithNewerVersion returns the addresses of entries that have a configuration with a higher version, the best ones first.
 		PeersWithNewerVersion func(version int64) []string
+		// PeersWithNewerEvacuations returns the addresses of entries that have a set of evacuated data centres with a higher version. It may be nil.
+		PeersWithNewerEvacuations func(version int64) []string
 		// PeerConfirmation returns when another entry last knew that there is no configuration with a higher version, or the zero time. It may be nil.
 		PeerConfirmation func(version int64) time.Time
 		// OnStoreResponse is called after each successful read of the store, and OnChange after each change to a newer
 		// configuration.
 		OnStoreResponse func()
 		OnChange        func(configuration *routetable.Configuration)
+		// OnEvacuationChange is called when the evacuated data centres have changed or have become known. It may be nil.
+		OnEvacuationChange func()
 
 		initOnce sync.Once
 		// progressed is signalled when the first part of a response of the store has arrived, checkRequested when the store has to be asked at once
@@ -87,6 +97,9 @@
 		// confirmedAt is when the store last had no newer configuration. confirmed is closed at the next confirmation or change.
 		confirmedAt time.Time
 		confirmed   chan struct{}
+		// evacuations is the set of evacuated data centres, or nil if none is known. The store had no later record about them at evacuationsConfirmedAt.
+		evacuations            *evacuation.Set
+		evacuationsConfirmedAt time.Time
 		// transferAt is when the last part of a response of the store arrived.
 		transferAt time.Time
 		// refreshFailedAt is when Refresh last waited in vain.
@@ -135,6 +148,17 @@
 	return s.configuration.Version, min(max(s.Clock.Now().Sub(s.confirmedAt), 0), neverConfirmed)
 }
 
+// Evacuations returns the set of evacuated data centres, or nil if none is known, and the time since the store, asked by this entry or by the one from which
+// the set was fetched, certainly had no later record about them. It returns one hour if that was never known.
+func (s *Subscriber) Evacuations() (set *evacuation.Set, age time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.evacuations == nil || s.evacuationsConfirmedAt.IsZero() {
+		return s.evacuations, neverConfirmed
+	}
+	return s.evacuations, min(max(s.Clock.Now().Sub(s.evacuationsConfirmedAt), 0), neverConfirmed)
+}
+
 // Run follows the configuration in the store and in the other entries until ctx is done.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.init()
@@ -269,3 +293,47 @@
 		Dur("duration", duration).Dur("lag", lag).Msg("configuration updated")
 	s.OnChange(configuration)
 }
+
+// setEvacuations stores the set of evacuated data centres unless the current one has a higher version. The store had no later record at confirmedAt, which may
+// be the zero time if that is unknown. entry is the address of the entry from which the set came, or "".
+func (s *Subscriber) setEvacuations(set *evacuation.Set, confirmedAt time.Time, source, entry string) {
+	if set == nil || set.Version <= 0 {
+		return
+	}
+	s.mutex.Lock()
+	before := s.evacuations
+	if set.Version < before.VersionOrZero() || source == sourcePeer && set.Version == before.VersionOrZero() && !slices.Equal(set.DataCentres, before.DataCentres) {
+		s.mutex.Unlock()
+		return
+	}
+	s.evacuations = set
+	if confirmedAt.After(s.evacuationsConfirmedAt) {
+		s.evacuationsConfirmedAt = confirmedAt
+	}
+	now := s.Clock.Now()
+	age := neverConfirmed
+	if !s.evacuationsConfirmedAt.IsZero() {
+		age = max(now.Sub(s.evacuationsConfirmedAt), 0)
+	}
+	begun, ended := set.Compare(before)
+	s.reportEvacuations("evacuation of a data centre begins", "evacuations-begun", begun, 1, set, source, entry, age)
+	s.reportEvacuations("evacuation of a data centre ends", "evacuations-ended", ended, 0, set, source, entry, age)
+	changed := before == nil || len(begun)+len(ended) > 0
+	if changed {
+		s.Meter.Set("evacuated-data-centres", int64(len(set.DataCentres)))
+	}
+	s.mutex.Unlock()
+	if changed && s.OnEvacuationChange != nil {
+		s.OnEvacuationChange()
+	}
+}
+
+// reportEvacuations logs and counts the begin or the end of the evacuation of data centres. The caller holds the mutex, so that the counters follow the
+// order of the changes.
+func (s *Subscriber) reportEvacuations(message, counter string, dataCentres []string, evacuated int64, set *evacuation.Set, source, entry string, age time.Duration) {
+	for _, name := range dataCentres {
+		s.Meter.Count(counter)
+		s.Meter.Set("evacuated-"+name, evacuated)
+		s.Log.Info().Str("data-centre", name).Int64("version", set.Version).Str("from", source).Str("entry", entry).Dur("age", age).Msg(message)
+	}
+}
--- a/internal/fleet/subscriber/subscriber_test.go
+++ b/internal/fleet/subscriber/subscriber_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboohook/internal/boottimer"
+	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/routetable"
 	"bamboohook/internal/fleet/sleeper"
 	"bamboohook/internal/fleet/storekeeper"
@@ -40,15 +41,15 @@
 
 func (*source) CloseIdleConnections() {}
 
-func (s *source) LoadConfiguration(context.Context, func()) (*routetable.Configuration, int64, error) {
+func (s *source) LoadConfiguration(context.Context, func()) (storekeeper.Publication, int64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
 	s.recordsDeleted = false
-	return s.newestConfiguration, s.offset, s.err
+	return storekeeper.Publication{Configuration: s.newestConfiguration, Evacuations: map[string]bool{}}, s.offset, s.err
 }
 
-func (s *source) FollowConfiguration(ctx context.Context, offset int64, _ time.Duration, progress func()) (*routetable.Configuration, int64, bool, error) {
+func (s *source) FollowConfiguration(ctx context.Context, offset int64, _ time.Duration, progress func()) (storekeeper.Publication, int64, bool, error) {
 	time.Sleep(5 * time.Millisecond)
 	s.mutex.Lock()
 	transferTime, changed := s.transferTime, s.offset != offset
@@ -59,25 +60,25 @@
 			break
 		}
 		if !sleeper.Sleep(ctx, transferTime/parts) {
-			return nil, offset, false, ctx.Err()
+			return storekeeper.Publication{}, offset, false, ctx.Err()
 		}
 		progress()
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.recordsDeleted {
-		return nil, offset, false, storekeeper.ErrDeleted
+		return storekeeper.Publication{}, offset, false, storekeeper.ErrDeleted
 	}
 	if s.err != nil || s.offset == offset {
-		return nil, offset, false, s.err
+		return storekeeper.Publication{}, offset, false, s.err
 	}
-	return s.newestConfiguration, s.offset, false, nil
+	return storekeeper.Publication{Configuration: s.newestConfiguration, Evacuations: map[string]bool{}}, s.offset, false, nil
 }
 
-func (s *source) FetchConfiguration(context.Context, string) (*routetable.Configuration, error) {
+func (s *source) FetchConfiguration(context.Context, string) (messenger.Configuration, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.peerConfiguration, nil
+	return messenger.Configuration{Configuration: s.peerConfiguration}, nil
 }
 
 // countingPeer counts the configurations that are fetched from another entry.
@@ -86,7 +87,7 @@
 	fetches atomic.Int64
 }
 
-func (p *countingPeer) FetchConfiguration(ctx context.Context, entry string) (*routetable.Configuration, error) {
+func (p *countingPeer) FetchConfiguration(ctx context.Context, entry string) (messenger.Configuration, error) {
 	p.fetches.Add(1)
 	return p.source.FetchConfiguration(ctx, entry)
 }
