Test the decoding of evacuations and the refusals of agents

The requests and withdrawals were decoded, and the agent's refusals carried out, without tests. The stand-in of the store gains appends of records without a value or with any value.

--- a/internal/fleet/attendant/fakes_test.go
+++ b/internal/fleet/attendant/fakes_test.go
@@ -264,6 +264,8 @@
 	// entries know no owner.
 	unresponsiveAddress string
 	refusingAddress     string
+	// evacuated is Evacuated of the responses.
+	evacuated bool
 	// reportsWithoutRuns counts the received reports without runs since a test has set it to 0.
 	reportsWithoutRuns int
 }
@@ -301,7 +303,7 @@
 	o.sentMS = append(o.sentMS, r.SentMS)
 	return messenger.ReportResponse{
 		Owner: o.address, Epoch: o.epoch, Session: o.session(r), Granted: true, Incarnation: r.Incarnation, RecordedSequence: o.recordedSequence,
-		ReportInterval: o.reportInterval,
+		ReportInterval: o.reportInterval, Evacuated: o.evacuated,
 	}, nil
 }
 
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -151,10 +151,18 @@
 	if err != nil {
 		panic("metastore: cannot encode a record: " + err.Error())
 	}
+	m.AppendBytes(topicName, key, encoded)
+}
+
+// RemoveKey appends a record without a value to a topic, without fencing. The newest records of the topic then lack the key.
+func (m *Metastore) RemoveKey(topicName, key string) { m.AppendBytes(topicName, key, nil) }
+
+// AppendBytes appends a record with a value that need not be JSON to a topic, without fencing.
+func (m *Metastore) AppendBytes(topicName, key string, value []byte) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := append([]byte{byte(len(key))}, key...)
-	m.addRecord(m.topic(topicName), append(record, encoded...))
+	m.addRecord(m.topic(topicName), append(record, value...))
 }
 
 // Newest returns the newest value of a key in a topic.
