Don't stop a run whose start had no response while its agent is silent

After a request to evacuate its data centre, a run whose start had got no response within a second was ordered to stop. If the agent was silent for longer, the stop reached a run that existed and was to go on. The owner now waits for a report that was made later than that: it lists the run if it exists.

--- a/internal/batch/coordinator/evacuation.go
+++ b/internal/batch/coordinator/evacuation.go
@@ -69,8 +69,8 @@
 }
 
 // withdrawStarts withdraws the starts in evacuated data centres that the agents have not confirmed. A start that was never sent has certainly had no effect, so
-// its task waits again. One that was sent is not repeated. If the agent does not say what has become of it, the run is stopped, unless a report lists it
-// before: only then is it known whether it exists.
+// its task waits again. One that was sent is not repeated. If a later report neither lists the run nor its end, a copy may still be under way, and the run is
+// stopped: only then is it known that it does not exist. Without a report it may run and must not be stopped.
 func (c *Coordinator) withdrawStarts(now time.Time) {
 	s := &c.state
 	if s.evacuations == nil || len(s.evacuations.DataCentres) == 0 {
@@ -86,7 +86,7 @@
 			case x.startsSent == 0:
 				c.Meter.Count("starts-withdrawn")
 				c.finishRun(x, messenger.RunResult{Outcome: messenger.RunLost, Task: x.taskName, Number: x.number}, evidenceEvacuation, now)
-			case now.Sub(x.startSentAt) >= orderTimeout:
+			case v.lastReportAt.Sub(x.startSentAt) >= orderTimeout:
 				c.Meter.Count("starts-withdrawn")
 				c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", v.Name).Str("data-centre", v.dataCentre).Dur("sent", now.Sub(x.startSentAt)).
 					Msg("start without a response is not repeated because the data centre is evacuated")
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"sort"
 	"sync"
@@ -17,7 +18,9 @@
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/fleet/committer"
+	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/messenger"
+	"bamboohook/internal/fleet/meter"
 	"bamboohook/internal/fleet/storekeeper"
 	"bamboohook/resource"
 )
@@ -132,6 +135,12 @@
 	silent        bool
 	runsUnlisted  bool
 	dropResponses bool
+	// dataCentre is the data centre in the reports. evacuated is whether the last response said that it is evacuated. The agent refuses starts then.
+	dataCentre string
+	evacuated  bool
+	// startOrders holds the tasks of all starts that the owner has sent, whatever the agent did, and stopOrders those of all stops.
+	startOrders []string
+	stopOrders  []string
 	// refusalReason makes the agent refuse all orders if it is not empty.
 	refusalReason string
 	// starts and stops hold the tasks of all starts and stops that were carried out, paces the last pace of each task in percent.
@@ -161,6 +170,13 @@
 	beforeResponse func(*agent)
 	// wallOffset is the difference between the time of day and the clock.
 	wallOffset time.Duration
+	// evacuations is the set of evacuated data centres that the entry knows, evacuationAge its age. maxEvacuationAge is the highest age that the next
+	// coordinator permits.
+	evacuations      *evacuation.Set
+	evacuationAge    time.Duration
+	maxEvacuationAge time.Duration
+	// log receives the log of the next coordinator. It may be nil.
+	log io.Writer
 	// If deferCalls is set, simulate makes the coordinator's calls after each plan. deferredCalls holds those that were not made yet.
 	deferCalls    bool
 	deferredCalls []func()
@@ -197,6 +213,8 @@
 		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
 		MayShowStates: func() bool { return !c.paused },
 		OwnedAt:       func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
+		Evacuations:   func() (*evacuation.Set, time.Duration) { return c.evacuations, c.evacuationAge }, MaxEvacuationAge: c.maxEvacuationAge,
+		Meter: &meter.Meter{},
 		Spawn: func(do func()) {
 			if c.deferCalls {
 				c.deferredCalls = append(c.deferredCalls, do)
@@ -205,6 +223,9 @@
 			do()
 		},
 	}
+	if c.log != nil {
+		c.coordinator.Log = zerolog.New(c.log)
+	}
 	c.journal.coordinator, c.journal.pendingWrites, c.journal.blocked = c.coordinator, nil, false
 	c.coordinator.TakeOwnership(epoch, c.journal.newestRecords())
 	c.configure()
@@ -219,6 +240,12 @@
 // SendOrders implements coordinator.Agents. The agent of the VM carries out the orders, unless it is silent or refuses them.
 func (c *testCluster) SendOrders(_ context.Context, vm string, o messenger.Orders) (messenger.OrdersResponse, error) {
 	a := c.agents[vm]
+	for _, s := range o.Starts {
+		a.startOrders = append(a.startOrders, s.Task)
+	}
+	for _, s := range o.Stops {
+		a.stopOrders = append(a.stopOrders, s.Task)
+	}
 	if a.silent {
 		return messenger.OrdersResponse{}, errNoResponse
 	}
@@ -231,7 +258,9 @@
 	}
 	for _, s := range o.Starts {
 		outcome := messenger.StartOutcome{Task: s.Task, Number: s.Number, Outcome: messenger.StartDone}
-		if a.startsUnknown {
+		if a.evacuated && a.runs[s.Task].Number != s.Number {
+			outcome.Outcome, outcome.Reason = messenger.StartRefused, messenger.ReasonEvacuated
+		} else if a.startsUnknown {
 			outcome.Outcome = messenger.StartUnknown
 		} else if a.refusesOld && s.Number <= a.endedNumbers[s.Task] {
 			outcome.Outcome, outcome.Reason = messenger.StartRefused, "old"
@@ -290,7 +319,7 @@
 
 // restart replaces the agent process. The new one has the generation, knows no owner, and has listed no runs yet.
 func (a *agent) restart(generation string) {
-	a.generation, a.reportSequence, a.epoch, a.session, a.runsUnlisted = generation, 0, 0, 0, true
+	a.generation, a.reportSequence, a.epoch, a.session, a.runsUnlisted, a.evacuated = generation, 0, 0, 0, true, false
 }
 
 // sendReport sends a report of the agent to the coordinator, and removes the run results that are recorded according to the response. If the
@@ -309,7 +338,7 @@
 	a.reportSequence++
 	r := messenger.Report{
 		VM: a.name, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, Incarnation: a.incarnation, Listed: !a.runsUnlisted,
-		EndpointID: "i-" + a.name, Service: "s",
+		EndpointID: "i-" + a.name, Service: "s", DataCentre: a.dataCentre, Evacuated: a.evacuated,
 		Rack: "r", Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
 	}
 	r.UnnamedRuns, r.UnknownRuns = a.unnamed, a.unknownRuns
@@ -335,6 +364,7 @@
 // processResponse processes the response to a report. It reports whether the agent process has received a number or needs another one.
 func (a *agent) processResponse(response messenger.ReportResponse) bool {
 	a.observeEpoch(response.Epoch)
+	a.evacuated = response.Evacuated
 	renumbered := response.Outdated || response.Session != 0 && response.Session != a.session
 	if response.Outdated {
 		a.generation += "-"
