Start tasks only at agents that accept starts, and end the refusal of starts by a proof

Cause: a new agent process that cannot ask all entries for the owner refuses starts for 2 s, because a former owner may be unaware of its successor, to which the previous process may have reported. Its reports did not say so, so the owner found out by sending starts, and waited for the time-out although nothing else was missing.

Change: reports say how much longer the agent refuses starts, and the owner leaves such VMs out. The owner remembers when the first report of an agent process arrived. Once the store has answered a read or append that was sent later and in which it still was the owner, no other entry had claimed the ownership when the previous process ended. Responses to reports and orders then carry that proof, and the agent accepts starts.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -86,6 +86,9 @@
 		// ordersScannedAt.
 		vmsWithChangedRuns map[string]*vm
 		ordersScannedAt    time.Time
+		// confirming reports whether ConfirmOwnership is in progress, confirmationRequestedAt is when it was last called.
+		confirming              bool
+		confirmationRequestedAt time.Time
 		// wake receives a value when Run should plan soon. wakeChannelLocked creates it.
 		wake       chan struct{}
 		dispatcher dispatcher.Dispatcher
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -12,6 +12,7 @@
 
 	"bamboohook/internal/batch/coordinator"
 	"bamboohook/internal/batch/dispatcher"
+	"bamboohook/internal/fleet/attendant"
 	"bamboohook/internal/fleet/committer"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/sleeper"
@@ -27,6 +28,10 @@
 	// maxStoreDelay is the longest time of each way between an owner and the store.
 	maxStoreDelay = 4 * time.Millisecond
 	maxMissTime   = 4 * time.Second
+	// silentShare is the share of the entries that do not respond to a new agent process, at most for simSilence. That is shorter than the time after which
+	// a former owner is aware of its successor, and longer than the survey of a new agent process.
+	silentShare = 0.5
+	simSilence  = 1800 * time.Millisecond
 )
 
 var (
@@ -52,6 +57,8 @@
 		suspension  suspension
 		// grantsUntil is zero while the owner has contact with the store.
 		grantsUntil time.Time
+		// confirmed is when the last request was sent to which the store has responded and which shows that there was no later owner.
+		confirmed time.Time
 		// succeededAt is when another owner took over, or the zero time.
 		succeededAt time.Time
 		resigned    chan struct{}
@@ -84,6 +91,7 @@
 		Agents: o, Journal: o, Clock: simClock{}, WallClock: simClock{}, Leases: simLeases,
 		Limits: coordinator.Limits{Retention: simRetention, MissTolerance: maxMissTime, StopTimeout: maxStopTime}, MayGrantLeases: o.mayGrantLeases,
 		MayShowStates: o.mayGrantLeases, OwnedAt: o.ownedAt,
+		ConfirmedAt: o.confirmedAt, ConfirmOwnership: o.confirmOwnership,
 	}
 	var records []storekeeper.Record
 	w.locked(func(w *simWorld) {
@@ -153,6 +161,50 @@
 	return o.succeededAt
 }
 
+func (o *simOwner) confirmedAt(epoch uint64) time.Time {
+	o.world.mutex.Lock()
+	defer o.world.mutex.Unlock()
+	if epoch != o.epoch || o.isResigned() {
+		return time.Time{}
+	}
+	return o.confirmed
+}
+
+// confirmOwnership asks the store whether there is a later owner. If so, this owner does not learn it before it resigns, as if the response were lost.
+func (o *simOwner) confirmOwnership(ctx context.Context, epoch uint64) error {
+	w, sentAt := o.world, time.Now()
+	w.pause(ctx, 0, maxStoreDelay)
+	isOwner := false
+	w.locked(func(w *simWorld) { isOwner = w.records.epoch == epoch })
+	w.pause(ctx, 0, maxStoreDelay)
+	o.suspension.wait(w.ctx, w)
+	if !isOwner {
+		return errNotReachable
+	}
+	w.locked(func(*simWorld) {
+		if sentAt.After(o.confirmed) {
+			o.confirmed = sentAt
+		}
+	})
+	return nil
+}
+
+// isSilentTo reports whether the entry does not respond to the agent process yet. Half of the entries do not respond to a new process for simSilence.
+func (w *simWorld) isSilentTo(entry, generation string) bool {
+	if !w.faults.silentEntries {
+		return false
+	}
+	key := entry + " " + generation
+	silence, known := w.silences[key]
+	if !known {
+		if w.chance(silentShare) {
+			silence = time.Now().Add(w.duration(0, simSilence))
+		}
+		w.silences[key] = silence
+	}
+	return time.Now().Before(silence)
+}
+
 // Append implements coordinator.Journal.
 func (o *simOwner) Append(w committer.Write) {
 	o.mutex.Lock()
@@ -189,7 +241,7 @@
 		o.mutex.Unlock()
 		writes = append(writes, o.coordinator.CollectWrites()...)
 		w.pause(w.ctx, 0, maxStoreDelay)
-		stored := false
+		stored, sentAt := false, time.Now()
 		w.locked(func(w *simWorld) {
 			if stored = w.records.epoch == o.epoch; !stored {
 				return
@@ -212,6 +264,9 @@
 		}
 		w.pause(w.ctx, 0, maxStoreDelay)
 		o.suspension.wait(w.ctx, w)
+		if err == nil {
+			w.locked(func(*simWorld) { o.confirmed = sentAt })
+		}
 		for _, batch := range writes {
 			batch.Done(err)
 		}
@@ -293,7 +348,13 @@
 // handleReport passes a report to the entry and completes the response like package cli.
 func (w *simWorld) handleReport(entry string, r messenger.Report) (messenger.ReportResponse, bool, error) {
 	var o, owner *simOwner
-	w.locked(func(w *simWorld) { o, owner = w.entries[entry], w.owner })
+	silent := false
+	w.locked(func(w *simWorld) {
+		o, owner, silent = w.entries[entry], w.owner, w.isSilentTo(entry, r.Generation)
+	})
+	if silent {
+		return messenger.ReportResponse{}, false, nil
+	}
 	if o == nil {
 		// The entry has never been the owner, but knows it.
 		return messenger.ReportResponse{Owner: owner.address, Epoch: owner.epoch, Entries: ownerAddresses}, true, nil
@@ -309,7 +370,7 @@
 	}
 	response.Owner, response.Epoch, response.Entries = owner.address, owner.epoch, ownerAddresses
 	if response.Owner != entry {
-		response.Granted = false
+		response.Granted, response.OwnerConfirmed = false, false
 	}
 	return response, true, nil
 }
@@ -351,6 +412,9 @@
 	if !response.Accepted {
 		for _, s := range orders.Starts {
 			w.log(s.Task, "%s rejects the orders of %s with the start of run %d: %s", p.generation, w.at(sentAt), s.Number, response.Reason)
+			if response.Reason == attendant.ReasonEntrySilent {
+				w.violate(s.Task, "the start of run %d was sent to an agent process whose reports say that it refuses starts", s.Number)
+			}
 		}
 	}
 	for _, s := range response.Starts {
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -87,6 +87,10 @@
 		"odd rows, crashes and late calls":     {oddRows: true, crashes: true, lateCalls: true},
 		"odd rows, takeovers and late calls":   {oddRows: true, takeovers: true, lateCalls: true},
 		"odd rows, takeovers, agent kills":     {oddRows: true, takeovers: true, agentKills: true},
+		"silent entries, agent kills":          {silentEntries: true, takeovers: true, agentKills: true},
+		"silent entries and late messages":     {silentEntries: true, takeovers: true, agentKills: true, lateMessages: true, lateCalls: true},
+		"silent entries, crashes of both":      {silentEntries: true, takeovers: true, agentKills: true, crashes: true},
+		"silent entries with suspensions":      {silentEntries: true, slow: true, suspensions: true, takeovers: true, agentKills: true},
 		"no faults, which checks the test":     {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -139,7 +143,7 @@
 		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
 		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
 		jobs: map[string]job.Job{}, checkpoints: map[string]map[string]struct{}{},
-		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[simFailure]struct{}{},
+		silences: map[string]time.Time{}, starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[simFailure]struct{}{},
 	}
 	if faults.lateCalls {
 		w.startFaults, w.listFaults = callFaults{late: 0.18, lost: 0.08}, callFaults{late: 0.02, lost: 0.01}
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -67,7 +67,7 @@
 	// simFaults says which faults a world has. With sameIDs, most endpoint processes that replace another one have its ID. With steps, all jobs have
 	// steps after one another, gangs and checkpoints, and endpoints drain. A slow world has longer runs and fewer takeovers, and its faults last longer.
 	simFaults struct {
-		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow, steps, oddRows bool
+		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow, steps, oddRows, silentEntries bool
 		// lastingSuspensions makes the agents of some VMs stand still until the end of the world.
 		lastingSuspensions bool
 	}
@@ -107,6 +107,8 @@
 		doneEnds  map[string][]*doneEnd
 		failures  map[string]map[simFailure]struct{}
 		violation string
+		// silences holds when an entry begins to respond to an agent process, by both names.
+		silences map[string]time.Time
 		// suspendedForGood is the number of agents that will not go on.
 		suspendedForGood int
 	}
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -134,6 +134,10 @@
 	dropResponses bool
 	// refusalReason makes the agent refuse all orders if it is not empty.
 	refusalReason string
+	// startsRefusedUntil is when a new agent process that could not ask all entries for the owner accepts starts, unless orders confirm the owner.
+	// refusedStarts is the number of starts that it has refused.
+	startsRefusedUntil time.Time
+	refusedStarts      int
 	// starts and stops hold the tasks of all starts and stops that were carried out, paces the last pace of each task in percent.
 	starts []string
 	stops  []string
@@ -159,6 +163,9 @@
 	queue                coordinator.Queue
 	// beforeResponse, unless nil, is called after an agent has executed starts, before the coordinator receives the response.
 	beforeResponse func(*agent)
+	// confirmedAt is when the owner had its last contact with the store. confirm, unless nil, is called when the owner asks the store at once.
+	confirmedAt time.Time
+	confirm     func() error
 	// wallOffset is the difference between the time of day and the clock.
 	wallOffset time.Duration
 	// If deferCalls is set, simulate makes the coordinator's calls after each plan. deferredCalls holds those that were not made yet.
@@ -197,6 +204,13 @@
 		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
 		MayShowStates: func() bool { return !c.paused },
 		OwnedAt:       func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
+		ConfirmedAt:   func(uint64) time.Time { return c.confirmedAt },
+		ConfirmOwnership: func(context.Context, uint64) error {
+			if c.confirm == nil {
+				return errNoResponse
+			}
+			return c.confirm()
+		},
 		Spawn: func(do func()) {
 			if c.deferCalls {
 				c.deferredCalls = append(c.deferredCalls, do)
@@ -226,6 +240,13 @@
 	response := messenger.OrdersResponse{
 		Accepted: o.Session == a.session && o.Incarnation == a.incarnation && o.Epoch >= a.epoch && a.refusalReason == "", Reason: a.refusalReason, Epoch: a.epoch,
 	}
+	if o.OwnerConfirmed {
+		a.startsRefusedUntil = time.Time{}
+	}
+	if response.Accepted && len(o.Starts) > 0 && c.clock.Now().Before(a.startsRefusedUntil) {
+		a.refusedStarts += len(o.Starts)
+		response.Accepted, response.Reason = false, "entry-silent"
+	}
 	if !response.Accepted {
 		return response, nil
 	}
@@ -297,7 +318,12 @@
 // agent process receives a number or needs another one, it sends the next report at once.
 func (c *testCluster) sendReport(a *agent) messenger.ReportResponse {
 	for {
-		response := c.coordinator.Report(a.composeReport())
+		r := a.composeReport()
+		r.StartsRefusedFor = max(0, a.startsRefusedUntil.Sub(c.clock.Now()))
+		response := c.coordinator.Report(r)
+		if response.OwnerConfirmed {
+			a.startsRefusedUntil = time.Time{}
+		}
 		if !a.processResponse(response) {
 			return response
 		}
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -112,6 +112,11 @@
 		// OwnedAt returns the latest time at which certainly no other entry owned the jobs. A later owner renews leases, so the silence of a VM
 		// proves that its leases have expired only if no other entry owned the jobs until then.
 		OwnedAt func() time.Time
+		// ConfirmedAt returns when the last request was sent to which the store has responded and which shows that this entry was the owner of the
+		// epoch, or the zero time. ConfirmOwnership sends such a request at once. Without them, new agent processes that could not ask all entries for
+		// the owner accept starts only after a time-out.
+		ConfirmedAt      func(epoch uint64) time.Time
+		ConfirmOwnership func(ctx context.Context, epoch uint64) error
 		// Spawn runs a function in the background. If it is nil, the coordinator starts a goroutine.
 		Spawn func(func())
 
@@ -126,6 +131,9 @@
 		agentGeneration string
 		session         uint64
 		identifiedAt    time.Time
+		// startsRefusedUntil is when the agent process accepts starts although it could not ask all entries for the owner, according to the last
+		// report. It is the zero time if it accepts them.
+		startsRefusedUntil time.Time
 		// reportSequence is the sequence number of the last report. reportSentMS is when that report was sent, in milliseconds since the start
 		// of the agent process.
 		reportSequence uint64
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -70,6 +70,7 @@
 	if request != nil {
 		c.spawn(func() { c.sendTicketRequest(ctx, *request) })
 	}
+	c.confirmForAgents(ctx)
 }
 
 // Tick opens due occurrences, removes lost VMs, stops runs on draining VMs and removes ended jobs and tombstones whose retention is over. It also logs the
@@ -182,7 +183,7 @@
 	if !s.owning || !c.MayGrantLeases() {
 		return nil, nil
 	}
-	now := c.Clock.Now()
+	now, confirmedAt := c.Clock.Now(), c.confirmedAt()
 	request := c.nextTicketRequest(c.placeTasks(now), now)
 	ordersByVM := map[string]messenger.Orders{}
 	for name, v := range c.vmsToSearch(now) {
@@ -195,6 +196,7 @@
 			}
 			continue
 		}
+		o.OwnerConfirmed = v.refusesStarts(now) && confirmedAt.After(v.identifiedAt)
 		if !v.addOrders(&o, now) {
 			c.runsChanged(v)
 			c.wakePlanner()
@@ -279,8 +281,9 @@
 func (c *Coordinator) dispatcherVMs(now time.Time) ([]*dispatcher.VM, map[*dispatcher.VM]*vm) {
 	vms := make([]*dispatcher.VM, 0, len(c.state.vms))
 	coordinatorVMs := make(map[*dispatcher.VM]*vm, len(c.state.vms))
+	confirmedAt := c.confirmedAt()
 	for _, v := range c.state.vms {
-		usable := c.usable(v, now)
+		usable := c.usable(v, now) && !v.awaitsConfirmation(now, confirmedAt)
 		v.Schedulable, v.SchedulableSoon, v.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
 		// The VM may accept starts again, so a starving task tries it again from time to time.
 		v.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -65,6 +65,7 @@
 	c.updatePaces(v, now)
 	c.runsChanged(v)
 	response.RecordedSequence = v.recordedSequenceFor(r.Incarnation)
+	response.OwnerConfirmed = v.refusesStarts(now) && c.confirmedAt().After(v.identifiedAt)
 	// Before the VM's runs are known, a grant could let them go on beyond the time after which their tasks start elsewhere. An agent renews no lease before
 	// it has a list, and the time after which its VM counts as lost begins with the last report that has one.
 	response.Granted = granted && r.Listed && (!r.UnknownRuns || s.runsKnown)
@@ -131,7 +132,7 @@
 	}
 	if v.reportedState != r.State || v.lastReportAt.IsZero() || v.runsListed != r.Listed {
 		c.Log.Info().Str("vm", v.Name).Str("state", r.State).Str("before", v.reportedState).Bool("listed", r.Listed).Int64("life", r.Incarnation).
-			Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
+			Dur("starts-refused-for", r.StartsRefusedFor).Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
 	}
 	v.reportSequence, v.reportSentMS, v.lastReportAt = r.Sequence, r.SentMS, now
 	if r.Listed || messenger.HasNoRuns(r.State) {
@@ -139,6 +140,10 @@
 	}
 	v.reportedState, v.runsListed, v.unknownRuns, v.remainingTime = r.State, r.Listed, r.UnknownRuns, r.RemainingTime
 	v.listAge, v.resultsMissing = r.ListAge, r.ResultsMissing
+	v.startsRefusedUntil = time.Time{}
+	if r.StartsRefusedFor > 0 {
+		v.startsRefusedUntil = now.Add(r.StartsRefusedFor)
+	}
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
 	}
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -86,7 +86,8 @@
 		MayGrantLeases: e.elector.MayGrantLeases,
 		MayShowStates:  e.elector.MayShowStates,
 		OwnedAt:        e.elector.OwnedAt,
-		OnOutdated:     e.subscriber.Check,
+		ConfirmedAt:    e.elector.ConfirmedAt, ConfirmOwnership: e.elector.ConfirmOwnership,
+		OnOutdated: e.subscriber.Check,
 	}
 	if settings.AdviceAddress != "" {
 		advisor := platform.NewAdvisor(settings.AdviceAddress)
@@ -250,7 +251,7 @@
 	response.Owner, response.Epoch = e.elector.Owner()
 	response.Entries, response.EntryCount = e.elector.Contacts()
 	if response.Owner != e.settings.PeerAddress || response.Epoch != ownedEpoch {
-		response.Granted, response.Session, response.Outdated = false, 0, false
+		response.Granted, response.OwnerConfirmed, response.Session, response.Outdated = false, false, 0, false
 	}
 	return response
 }
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -201,6 +201,20 @@
 	a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
 }
 
+// acceptStarts ends the refusal of starts, because the owner of the current epoch had no successor after the previous agent process had ended. source
+// names the message that says so. The refusal then has no reason for later epochs either: the previous process cannot have known a higher one than the
+// current epoch. The caller holds the mutex.
+func (a *Attendant) acceptStarts(source string) {
+	remaining := a.startsRefusedUntil.Sub(a.Clock.Now())
+	if remaining <= 0 {
+		return
+	}
+	a.startsRefusedUntil = time.Time{}
+	a.Meter.Count("refusals-ended-early")
+	a.Log.Info().Uint64("epoch", a.epoch).Uint64("session", a.session).Str("source", source).Dur("remaining", remaining).
+		Msg("starts are accepted: the owner had no successor when the previous agent process ended")
+}
+
 // reportTarget returns the address for the next report. It is that of the owner or, while no owner is known, that of each known entry in
 // turn. failures is the number of reports that have failed in a row.
 func (a *Attendant) reportTarget(failures int) string {
@@ -245,6 +259,9 @@
 		return false
 	}
 	a.updateSession(response, r)
+	if response.OwnerConfirmed && response.Session != 0 && response.Session == a.session {
+		a.acceptStarts("report response")
+	}
 	a.ownerReportInterval = min(response.ReportInterval, maxReportInterval)
 	if response.Granted {
 		if until := sentAt.Add(a.LeaseDurations.Grant); until.After(a.grantedUntil) {
@@ -269,6 +286,9 @@
 		UnreadableTasks: a.unreadableTasks, UnnamedRuns: a.unnamedRuns, UnknownRuns: a.listed && !a.allRunsKnown,
 		ResultsMissing: a.listed && a.resultsMissing,
 	}
+	if refusedFor := a.startsRefusedUntil.Sub(now); refusedFor > 0 {
+		r.StartsRefusedFor = refusedFor
+	}
 	if a.listed {
 		r.ListAge = now.Sub(a.lastResponseAt).Truncate(time.Millisecond)
 	}
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -107,6 +107,11 @@
 		return ReasonNotListed
 	case len(o.Starts) == 0:
 		return ""
+	}
+	if o.OwnerConfirmed {
+		a.acceptStarts("orders")
+	}
+	switch {
 	case now.Before(a.startsRefusedUntil):
 		return ReasonEntrySilent
 	case a.millisSinceProcessStart(now)-o.ReportSentMS > a.LeaseDurations.Grant.Milliseconds():
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -39,6 +40,9 @@
 	// read.
 	followWait          = 500 * time.Millisecond
 	followTimeoutMargin = 800 * time.Millisecond
+	// confirmationTimeout bounds a read that confirms the ownership, apart from the time that congestion may take. Agents that wait for it accept
+	// starts after 2 s without it.
+	confirmationTimeout = 800 * time.Millisecond
 	// evidenceTimeout is how long the response of an entry without contact to the store proves that it has not claimed the ownership. It is
 	// shorter than the time for which the next owner waits for grants of this one.
 	evidenceTimeout = 1300 * time.Millisecond
@@ -54,6 +58,9 @@
 	maxContacts = 12
 )
 
+// errNotOwner reports that this process does not own the jobs in the requested epoch.
+var errNotOwner = eris.New("elector: another process may own the jobs")
+
 type (
 	// PeerClient is a client of the other entries.
 	PeerClient interface {
@@ -373,6 +380,46 @@
 	return e.ownerContactAt
 }
 
+// ConfirmedAt returns when the last read or append was sent to which the store has responded and which shows that this process was the owner of the
+// epoch. It returns the zero time if this process is not the owner of the epoch.
+func (e *Elector) ConfirmedAt(epoch uint64) time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.isOwner || e.epoch != epoch {
+		return time.Time{}
+	}
+	return e.ownerContactAt
+}
+
+// ConfirmOwnership asks the store at once whether a later claim than that of this process exists. The read in progress does not tell: the store may
+// delay its response, which counts from the sending of the request. If there is no such claim, ConfirmedAt returns the time of this request or a later one.
+// ConfirmOwnership fails if the store does not respond in time or if this process is not the owner of the epoch.
+func (e *Elector) ConfirmOwnership(ctx context.Context, epoch uint64) error {
+	e.mutex.Lock()
+	offset, isOwner := e.storeOffset, e.isOwner && e.epoch == epoch
+	e.mutex.Unlock()
+	if !isOwner {
+		return errNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout+e.CongestionTime)
+	defer cancel()
+	sentAt := e.Clock.Now()
+	records, _, err := e.Store.Follow(ctx, offset, 0)
+	if err != nil {
+		return eris.Wrap(err, "elector: cannot confirm the ownership")
+	}
+	newest := newestClaim(records)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.recordStoreContact()
+	e.observeEpoch(newest.Epoch, newest.Address)
+	if !e.isOwner || e.epoch != epoch {
+		return errNotOwner
+	}
+	e.ownerContactAt = latest(e.ownerContactAt, sentAt)
+	return nil
+}
+
 // othersDisconnected reports whether every other entry that may run has told in a response to a ping which was sent after the given time that it cannot
 // have claimed the ownership, because it had no contact with the store. A silent entry may have claimed it, also if it was down before and has started
 // again since. So may an entry that refuses connections, because a partition may refuse them in its place. Only entries that had been removed from the
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -101,6 +101,9 @@
 		// ResultsMissing reports that the endpoint may hold more run results than Results contains, because it lists only a limited number at a
 		// time. A run that is in neither list may then have ended with any outcome.
 		ResultsMissing bool `json:"results-missing,omitempty"`
+		// StartsRefusedFor is how much longer the agent process refuses starts because a former owner may not be aware of its successor. 0 means
+		// that it does not refuse them for that reason.
+		StartsRefusedFor time.Duration `json:"starts-refused-for,omitempty"`
 		// RemainingTime is the minimum time that a draining VM keeps running.
 		RemainingTime time.Duration `json:"remaining,omitempty"`
 		Runs          []Run         `json:"runs,omitempty"`
@@ -160,6 +163,9 @@
 		// Granted permits the agent to renew the leases of runs for a limited time, which both sides are configured with. The time
 		// counts from the sending of the report.
 		Granted bool `json:"granted"`
+		// OwnerConfirmed reports that the store has shown, in response to a request that was sent after the first report of this agent process had
+		// arrived, that the owner had no successor. So no earlier process of the VM has reported to one.
+		OwnerConfirmed bool `json:"owner-confirmed,omitempty"`
 		// Incarnation is copied from the report. RecordedSequence is the sequence number of the last run result of that endpoint
 		// process that the owner has recorded, so that it need not be reported again.
 		Incarnation      int64 `json:"life"`
@@ -179,6 +185,8 @@
 		Owner       string `json:"owner"`
 		Session     uint64 `json:"session,omitempty"`
 		Incarnation int64  `json:"life"`
+		// OwnerConfirmed is that of a ReportResponse. It is only set if the last report says that the agent process refuses starts.
+		OwnerConfirmed bool `json:"owner-confirmed,omitempty"`
 		// ReportSentMS is SentMS of the report on which the owner has based the orders. The agent rejects starts based on an old
 		// report.
 		ReportSentMS int64   `json:"based"`
