Shorten the time to the next acknowledgement after the end of the owner

Cause: an entry that had sent a caller's request to the owner before its machine ended waited 1.4 s for the response, although the next owner was known after 0.72 s. A request that found no owner within 1.5 s was refused with a Retry-After of 2 s (1.5 s in whole seconds), so its caller came back after 3.5 s, whatever the number of VMs.

Change: a call to the owner is given up as soon as another owner is known. If the store responds, callers are asked to come back after 1 s. Detection and claim are unchanged, and so are the tests of the elector.

--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -24,8 +24,11 @@
 	// storeUnavailableAge is the time since the last contact with the store after which no election of an owner is likely to succeed
 	// soon.
 	storeUnavailableAge = 2 * time.Second
-	// noOwnerRetryAfter is the delay after which callers are asked to repeat a request if there is no owner.
+	// noOwnerRetryAfter is the delay after which callers are asked to repeat a request if there is no owner and the store does not respond.
 	noOwnerRetryAfter = 1500 * time.Millisecond
+	// electionRetryAfter is that delay if the store responds. An election has begun before the request was given up and ends soon. Callers get whole
+	// seconds, so 1.5 s would become 2 s.
+	electionRetryAfter = time.Second
 )
 
 type (
@@ -111,6 +114,9 @@
 		}
 	}
 	response := messenger.JobResponse{Outcome: messenger.OutcomeNotExecuted, Reason: "no owner", RetryAfter: noOwnerRetryAfter}
+	if r.Ownership.StoreAge() <= storeUnavailableAge {
+		response.RetryAfter = electionRetryAfter
+	}
 	if mayHaveEffect {
 		response = messenger.JobResponse{Outcome: messenger.OutcomeUnknown, Reason: "owner did not answer"}
 	}
@@ -144,13 +150,16 @@
 // attempt sends the request to the current owner once, directly or through another entry. If no owner responds, the outcome is
 // OutcomeNotOwner, and MayHaveEffect reports whether a receiver may execute the request.
 func (r *Receptionist) attempt(ctx context.Context, method string, request messenger.JobRequest) messenger.JobResponse {
-	target, _ := r.Ownership.Owner()
-	switch {
-	case target == "":
+	target, epoch := r.Ownership.Owner()
+	switch target {
+	case "":
 		return messenger.JobResponse{Outcome: messenger.OutcomeNotOwner}
-	case target == r.Address:
+	case r.Address:
 		return r.HandleLocally(ctx, method, request)
-	case request.Relayed:
+	}
+	ctx, stop := r.untilOwnerChanges(ctx, target, epoch)
+	defer stop()
+	if request.Relayed {
 		return r.forwardRequest(ctx, target, method, request)
 	}
 	if relay := r.Ownership.Relay(); relay != "" {
@@ -159,6 +168,20 @@
 	return r.forwardRequest(ctx, target, method, request)
 }
 
+// untilOwnerChanges returns a context that also ends as soon as another owner is known. A former owner whose machine has ended does not respond, and
+// the store refuses what any other former owner writes. The caller must call the returned function.
+func (r *Receptionist) untilOwnerChanges(ctx context.Context, owner string, epoch uint64) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	watch := time.AfterFunc(retryPause, func() {
+		r.waitForOwner(ctx, owner, epoch, attemptTimeout)
+		cancel()
+	})
+	return ctx, func() {
+		watch.Stop()
+		cancel()
+	}
+}
+
 // forwardRequest sends the request to the entry at the address target. If there is no response, it returns OutcomeNotOwner, and MayHaveEffect
 // unless the request was certainly not sent.
 func (r *Receptionist) forwardRequest(ctx context.Context, target, method string, request messenger.JobRequest) messenger.JobResponse {
--- a/internal/fleet/receptionist/receptionist_test.go
+++ b/internal/fleet/receptionist/receptionist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,6 +35,27 @@
 	relayed  []bool
 }
 
+// replacedOwner is an owner that does not respond and is replaced by one that does.
+type replacedOwner struct {
+	fakeOwner
+	replaced atomic.Bool
+}
+
+func (o *replacedOwner) Owner() (string, uint64) {
+	if o.replaced.Load() {
+		return "next", 2
+	}
+	return "silent", 1
+}
+
+func (o *replacedOwner) SendJobRequest(ctx context.Context, entry, _ string, _ messenger.JobRequest) (messenger.JobResponse, bool, error) {
+	if entry == "silent" {
+		<-ctx.Done()
+		return messenger.JobResponse{}, true, ctx.Err()
+	}
+	return messenger.JobResponse{Outcome: messenger.OutcomeDone}, true, nil
+}
+
 func (o *fakeOwner) Owner() (string, uint64) { return o.owner, 1 }
 func (o *fakeOwner) Relay() string           { return o.relay }
 func (o *fakeOwner) StoreAge() time.Duration { return o.storeAge }
@@ -185,6 +207,23 @@
 		})
 	}
 
+	// Guards against callers that wait for the time-out of a call to an owner whose machine has ended, although the next owner is known.
+	It("gives the call to a silent owner up as soon as another one is known", func() {
+		o := &replacedOwner{}
+		r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
+		time.AfterFunc(100*time.Millisecond, func() { o.replaced.Store(true) })
+		started := time.Now()
+		Expect(r.Handle(context.Background(), messenger.MethodSubmit, messenger.JobRequest{}).Outcome).To(Equal(messenger.OutcomeDone))
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+	})
+
+	// Guards against callers that come back long after the end of an election.
+	It("asks callers to come back soon if there is no owner while the store responds", func() {
+		o := &fakeOwner{}
+		r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
+		Expect(r.Handle(context.Background(), messenger.MethodSubmit, messenger.JobRequest{}).RetryAfter).To(Equal(time.Second))
+	})
+
 	It("sends a request through a relay if the owner can't be reached directly", func() {
 		o := &fakeOwner{owner: "other", relay: "third"}
 		r := &receptionist.Receptionist{Address: "me", LocalOwner: o, PeerClient: o, Ownership: o, Clock: boottimer.Clock{}, Log: zerolog.Nop()}
