--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -91,8 +91,9 @@
 		MayGrantLeases: e.elector.MayGrantLeases,
 		MayShowStates:  e.elector.MayShowStates,
 		OwnedAt:        e.elector.OwnedAt,
-		OnOutdated:     e.subscriber.Check,
-		Evacuations:    e.subscriber.Evacuations,
+		ConfirmedAt:    e.elector.ConfirmedAt, ConfirmOwnership: e.elector.ConfirmOwnership,
+		OnOutdated:  e.subscriber.Check,
+		Evacuations: e.subscriber.Evacuations,
 	}
 	if settings.EvacuationTime > 0 {
 		e.coordinator.MaxEvacuationAge = settings.EvacuationTime + settings.EvacuationStretch
@@ -261,7 +262,7 @@
 	response.Owner, response.Epoch = e.elector.Owner()
 	response.Entries, response.EntryCount = e.elector.Contacts()
 	if response.Owner != e.settings.PeerAddress || response.Epoch != ownedEpoch {
-		response.Granted, response.Session, response.Outdated, response.Evacuated = false, 0, false, false
+		response.Granted, response.OwnerConfirmed, response.Session, response.Outdated, response.Evacuated = false, false, 0, false, false
 	}
 	return response
 }
