Test evacuations with processes, and bound the owner's knowledge below the limit

An owner that reads nothing more of the operators' topic placed work until EvacuationMs + MaxStretchMs, so that orders under way came later than the platform permits. It now stops a second before, but not below 5 s, which lost reads take.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -55,6 +55,10 @@
 	// configurationMargin is how much earlier than the platform permits an entry stops answering from a configuration of which it does not know
 	// whether it is the newest one. It covers the way of the request.
 	configurationMargin = 250 * time.Millisecond
+	// evacuationMargin is how much earlier than the platform permits an owner that has not read the operators' topic places nothing more. It covers the
+	// orders under way. minEvacuationAge is the lowest age from which that holds, since reads that are lost now and then take that long.
+	evacuationMargin = time.Second
+	minEvacuationAge = 5 * time.Second
 	// congestionMegabits and congestionProcessorSeconds are the data and the work that may wait on the link and the processors of a process
 	// before a message: the largest configuration, the records of the jobs and a burst of requests. Messages wait at most for
 	// maxCongestionTime, because a process that is slower than that must be replaced like one that has failed.
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -94,9 +94,7 @@
 		OnOutdated:     e.subscriber.Check,
 		Evacuations:    e.subscriber.Evacuations,
 	}
-	if settings.EvacuationTime > 0 {
-		e.coordinator.MaxEvacuationAge = settings.EvacuationTime + settings.EvacuationStretch
-	}
+	e.coordinator.MaxEvacuationAge = maxEvacuationAge(settings)
 	e.subscriber.OnEvacuationChange = e.coordinator.WakePlanner
 	if settings.AdviceAddress != "" {
 		advisor := platform.NewAdvisor(settings.AdviceAddress)
@@ -183,6 +181,14 @@
 	return min(time.Duration(seconds*float64(time.Second)), maxCongestionTime)
 }
 
+// maxEvacuationAge returns the age of the knowledge of evacuated data centres from which on the owner places nothing, or 0 if the platform sets no bound.
+func maxEvacuationAge(settings platform.Settings) time.Duration {
+	if settings.EvacuationTime == 0 {
+		return 0
+	}
+	return max(settings.EvacuationTime+settings.EvacuationStretch-evacuationMargin, minEvacuationAge)
+}
+
 // handleOwnershipGained starts the scheduling of jobs after this entry has become the owner. records holds the newest record of
 // each key in the store. Batch 1 of an epoch is the claim of the ownership, which the elector has already written, so the
 // committer continues with batch 2.
--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -47,6 +47,8 @@
 	readyTimeout      = 10 * time.Second
 	readyPollInterval = 20 * time.Millisecond
 	defaultConfigTime = 2 * time.Second
+	// topicOperator is the topic of the store in which operators publish.
+	topicOperator = "keyed.op"
 )
 
 var memorySetting = regexp.MustCompile(`MemoryMb = \d+`)
@@ -67,6 +69,10 @@
 	EntryProcessors float64
 	// ConfigTime is the time after its acknowledgement from which on a configuration must be in use. 0 means 2 s.
 	ConfigTime time.Duration
+	// DataCentres is the number of data centres, which the VMs are in by turns. 0 means 1. EvacuationTime is the time after its acknowledgement from which on
+	// the evacuation of one must be in effect; 0 leaves the setting out.
+	DataCentres    int
+	EvacuationTime time.Duration
 	// Grace is the time that the platform leaves a process between SIGTERM and SIGKILL.
 	Grace time.Duration
 
@@ -96,7 +102,7 @@
 	for n := range i.VMs {
 		ip := i.ip(2, n+1)
 		e := &instance.Instance{
-			ID: fmt.Sprintf("i-%d", n), Service: RouteService, Zone: "z", Rack: fmt.Sprintf("r%d", n/3), Address: address(ip, portEndpoint),
+			ID: fmt.Sprintf("i-%d", n), Service: RouteService, Zone: i.DataCentre(n), Rack: fmt.Sprintf("r%d", n/3), Address: address(ip, portEndpoint),
 			AgentAddress: address(ip, portControl), MilliProcessors: VMMilliProcessors, MemoryMB: vmMemoryMB, OnEvent: i.recordEvent,
 		}
 		if err := serve(ctx, e.Handler(), e.Address); err != nil {
@@ -121,6 +127,24 @@
 	return nil
 }
 
+// DataCentre returns the name of the data centre of a VM.
+func (i *Installation) DataCentre(vm int) string {
+	if i.DataCentres <= 1 {
+		return "z"
+	}
+	return fmt.Sprintf("z%d", vm%i.DataCentres)
+}
+
+// Evacuate requests that nothing be started in the data centre, or withdraws the request, and returns the time of its acknowledgement.
+func (i *Installation) Evacuate(dataCentre string, requested bool) time.Time {
+	if requested {
+		i.Store.AppendRecord(topicOperator, "evacuate/"+dataCentre, struct{}{})
+	} else {
+		i.Store.RemoveKey(topicOperator, "evacuate/"+dataCentre)
+	}
+	return time.Now()
+}
+
 // EntryName returns the process name of an entry.
 func EntryName(n int) string { return fmt.Sprintf("entry-%d", n) }
 
@@ -178,7 +202,7 @@
 			"Priority": 0, "Service": service, "MaxAttempts": 3, "Stretch": 2.0,
 		})
 	}
-	i.Store.AppendRecord("keyed.op", "config", map[string]any{
+	i.Store.AppendRecord(topicOperator, "config", map[string]any{
 		"Version":  version,
 		"Routes":   routes,
 		"Services": []map[string]any{{"Name": service}},
@@ -348,6 +372,9 @@
 	}
 	fmt.Fprintf(&b, "ControlPlane = %q\n[Limits]\nCpuQuota = %g\nMemoryMb = 256\nLinkMbps = %g\n", address(ip, portControl), processors, mbps)
 	fmt.Fprintf(&b, "[Bounds]\nGraceS = %g\nMaxHoldMs = 6000\nstatus_s = 120\nHarmMs = 4000\nConfigMs = %d\n", i.Grace.Seconds(), cmp.Or(i.ConfigTime, defaultConfigTime).Milliseconds())
+	if i.EvacuationTime > 0 {
+		fmt.Fprintf(&b, "EvacuationMs = %d\nMaxStretchMs = 6000\n", i.EvacuationTime.Milliseconds())
+	}
 	storeIP := i.ip(0, 1)
 	if role == "entry" {
 		storeIP = i.EntryStoreIP(n)
