--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -35,6 +35,8 @@
 	// exact also for programs that read JSON numbers as floats.
 	sessionBits = 24
 	counterBits = 12
+	// meterEvacuated is the name of the meter's value that is 1 while the data centre is evacuated.
+	meterEvacuated = "evacuated"
 )
 
 // Run polls the endpoint for its runs and sends reports about them to the owner until ctx is done and its list requests have ended.
@@ -92,6 +94,7 @@
 		a.listEnded = make(chan struct{})
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
 		a.fencingToken, a.decisiveToken = 1, math.MaxUint64
+		a.Meter.Set(meterEvacuated, 0)
 		a.Log.Info().Str("generation", a.Generation).Uint64("token", a.fencingToken).Msg("agent process begins to list runs")
 	}
 }
@@ -352,7 +355,7 @@
 		}
 	}
 	a.Meter.Count(counter)
-	a.Meter.Set("evacuated", value)
+	a.Meter.Set(meterEvacuated, value)
 	a.Log.Info().Str("data-centre", a.heartbeat.DataCentre).Str("from", owner).Uint64("epoch", response.Epoch).Dur("age", a.Clock.Now().Sub(a.reportedAt)).
 		Int("starts-in-progress", a.startsInProgress).Int("runs", len(a.runs)).Msg(message)
 }
--- a/internal/fleet/meter/meter_test.go
+++ b/internal/fleet/meter/meter_test.go
@@ -36,9 +36,21 @@
 		Expect(lines[2]).To(And(HavePrefix("append count 101"), ContainSubstring("p50-us 50")))
 	})
 
+	It("serves the last value that was set", func() {
+		m := &meter.Meter{}
+		m.Set("evacuated", 3)
+		m.Set("evacuated", 0)
+		m.Count("starts")
+		var text strings.Builder
+		_, err := m.WriteTo(&text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text.String()).To(Equal("evacuated 0\nstarts 1\n"))
+	})
+
 	It("discards values if it is nil", func() {
 		var m *meter.Meter
 		m.Count("x")
+		m.Set("x", 1)
 		m.Observe("x", time.Second)
 	})
 })
