Bring agents back without bursts, in the order of the waiting work

Cause: a new owner called all agents without a report each 300 ms, also those that had a number already. With 300 VMs and 0.2 processors these calls took more processor time than the entry has, reports reached their time-out of 600 ms and were sent again, and recovery took seconds. Agents without an owner asked an entry each 60 ms. A new agent process waited 0.3 s for an entry that does not respond before it reported to the owner.

Change: the owner calls at most 64 agents at once and one each 2.5 ms after them, those first whose service has the most waiting work; the record of a VM holds its service for that. Agents that have a number are left out for 1 s. An agent's pause without an owner doubles with each round up to 480 ms. The survey of the entries goes on in the background after 0.1 s, while starts are refused.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -89,6 +89,9 @@
 		// confirming reports whether ConfirmOwnership is in progress, confirmationRequestedAt is when it was last called.
 		confirming              bool
 		confirmationRequestedAt time.Time
+		// announcementBudget is the number of agents without a report that may be called at announcementBudgetAt.
+		announcementBudget   float64
+		announcementBudgetAt time.Time
 		// wake receives a value when Run should plan soon. wakeChannelLocked creates it.
 		wake       chan struct{}
 		dispatcher dispatcher.Dispatcher
@@ -142,6 +145,7 @@
 	s.changedJobs, s.removedKeys, s.delayedRetries = nil, nil, nil
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
+	s.announcementBudget, s.announcementBudgetAt = maxAnnouncementBurst, now
 	s.inquirer = inquirer.Inquirer{}
 	s.dispatcher = dispatcher.Dispatcher{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
@@ -149,8 +153,7 @@
 	stored := groupRecords(records)
 	for _, r := range records {
 		if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
-			s.vms[name] = c.newVM(name)
-			s.vms[name].mayHaveRuns, s.vms[name].recordStored = true, true
+			c.restoreVM(name, r.Value)
 		}
 		if r.Key == keyModel {
 			if err := s.interferenceModel.Restore(r.Value); err != nil {
--- a/internal/batch/coordinator/exclusion_network_test.go
+++ b/internal/batch/coordinator/exclusion_network_test.go
@@ -116,7 +116,7 @@
 		simQueue: {Queue: dispatcher.Queue{Service: "s", Attempts: simAttempts, Stretch: 2, Target: time.Second}},
 	})
 	o.coordinator.TakeOwnership(o.epoch, records)
-	w.locked(func(w *simWorld) { w.owner, w.entries[o.address] = o, o })
+	w.locked(func(w *simWorld) { w.owner, w.entries[o.address], w.firstResponseAt = o, o, time.Time{} })
 	go func() { _ = o.coordinator.Run(w.ctx) }()
 	go o.writeLoop()
 }
@@ -173,6 +173,7 @@
 // confirmOwnership asks the store whether there is a later owner. If so, this owner does not learn it before it resigns, as if the response were lost.
 func (o *simOwner) confirmOwnership(ctx context.Context, epoch uint64) error {
 	w, sentAt := o.world, time.Now()
+	w.locked(func(w *simWorld) { w.confirmations++ })
 	w.pause(ctx, 0, maxStoreDelay)
 	isOwner := false
 	w.locked(func(w *simWorld) { isOwner = w.records.epoch == epoch })
@@ -191,6 +192,9 @@
 
 // isSilentTo reports whether the entry does not respond to the agent process yet. Half of the entries do not respond to a new process for simSilence.
 func (w *simWorld) isSilentTo(entry, generation string) bool {
+	if entry == w.silentEntry {
+		return true
+	}
 	if !w.faults.silentEntries {
 		return false
 	}
@@ -352,9 +356,13 @@
 	w.locked(func(w *simWorld) {
 		o, owner, silent = w.entries[entry], w.owner, w.isSilentTo(entry, r.Generation)
 	})
-	if silent {
+	switch {
+	case silent:
 		return messenger.ReportResponse{}, false, nil
+	case owner == nil:
+		return messenger.ReportResponse{Entries: ownerAddresses}, true, nil
 	}
+	w.useEntryLink(entry, r)
 	if o == nil {
 		// The entry has never been the owner, but knows it.
 		return messenger.ReportResponse{Owner: owner.address, Epoch: owner.epoch, Entries: ownerAddresses}, true, nil
@@ -372,6 +380,11 @@
 	if response.Owner != entry {
 		response.Granted, response.OwnerConfirmed = false, false
 	}
+	w.locked(func(w *simWorld) {
+		if response.Session != 0 && w.firstResponseAt.IsZero() {
+			w.firstResponseAt = time.Now()
+		}
+	})
 	return response, true, nil
 }
 
@@ -391,6 +404,7 @@
 			w.log(s.Task, "owner of epoch %d orders %s to stop run %d", o.epoch, vm, s.Number)
 		}
 	})
+	w.useEntryLink(o.address, orders)
 	return deliver(ctx, w, simLink{vm, o.address, false}, func() (messenger.OrdersResponse, bool, error) {
 		var p *agentProcess
 		w.locked(func(w *simWorld) { p = w.agents[vm].process })
@@ -410,6 +424,7 @@
 // logResponse adds the response of an agent process to the history of the tasks that should start.
 func (w *simWorld) logResponse(p *agentProcess, orders messenger.Orders, response messenger.OrdersResponse, sentAt time.Time) {
 	if !response.Accepted {
+		w.refusedStarts[response.Reason] += len(orders.Starts)
 		for _, s := range orders.Starts {
 			w.log(s.Task, "%s rejects the orders of %s with the start of run %d: %s", p.generation, w.at(sentAt), s.Number, response.Reason)
 			if response.Reason == attendant.ReasonEntrySilent {
@@ -418,6 +433,9 @@
 		}
 	}
 	for _, s := range response.Starts {
+		if s.Outcome == messenger.StartRefused {
+			w.refusedStarts[s.Reason]++
+		}
 		w.log(s.Task, "%s answers the orders of %s with the start of run %d: %s %s", p.generation, w.at(sentAt), s.Number, s.Outcome, s.Reason)
 	}
 }
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -135,16 +135,20 @@
 	return seeds
 }
 
-// playWorld plays a world and returns its first violation, or "" if there is none.
-func playWorld(seed uint64, faults simFaults) string {
-	ctx, end := context.WithCancel(context.Background())
-	defer end()
-	w := &simWorld{
+func newSimWorld(ctx context.Context, seed uint64, faults simFaults) *simWorld {
+	return &simWorld{
 		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
 		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
-		jobs: map[string]job.Job{}, checkpoints: map[string]map[string]struct{}{},
+		jobs: map[string]job.Job{}, checkpoints: map[string]map[string]struct{}{}, entryFreeAt: map[string]time.Time{}, refusedStarts: map[string]int{},
 		silences: map[string]time.Time{}, starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[simFailure]struct{}{},
 	}
+}
+
+// playWorld plays a world and returns its first violation, or "" if there is none.
+func playWorld(seed uint64, faults simFaults) string {
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	w := newSimWorld(ctx, seed, faults)
 	if faults.lateCalls {
 		w.startFaults, w.listFaults = callFaults{late: 0.18, lost: 0.08}, callFaults{late: 0.02, lost: 0.01}
 	}
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -175,6 +175,8 @@
 		recordStored bool
 		// hasUnknownRuns reports whether the VM has a run of an unknown task.
 		hasUnknownRuns bool
+		// recordedService is the service of the VM according to the record of an earlier owner. It only orders the calls of the agents.
+		recordedService string
 		// announcedAt is when empty orders that name the owner were last sent to the agent. They are sent until its first report in this epoch
 		// arrives.
 		announcedAt time.Time
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -189,11 +189,6 @@
 	for name, v := range c.vmsToSearch(now) {
 		o := messenger.Orders{Epoch: s.epoch, Owner: c.Address, Session: v.session, Incarnation: v.incarnation, ReportSentMS: v.reportSentMS}
 		if v.lastReportAt.IsZero() {
-			// Even empty orders name the owner, so that the agent knows where to send its reports.
-			if now.Sub(v.announcedAt) > orderRetryInterval {
-				v.announcedAt = now
-				ordersByVM[name] = o
-			}
 			continue
 		}
 		o.OwnerConfirmed = v.refusesStarts(now) && confirmedAt.After(v.identifiedAt)
@@ -205,6 +200,7 @@
 			ordersByVM[name] = o
 		}
 	}
+	c.addAnnouncements(ordersByVM, now)
 	return ordersByVM, request
 }
 
--- a/internal/batch/coordinator/record.go
+++ b/internal/batch/coordinator/record.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"cmp"
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -181,7 +183,11 @@
 		v, ok := s.vms[name]
 		hasRecord := ok && v.mayHaveRuns
 		if hasRecord {
-			r.Value = []byte("{}")
+			value, err := json.Marshal(vmRecord{cmp.Or(v.Service, v.recordedService)})
+			if err != nil {
+				panic("coordinator: cannot encode the record of a VM: " + err.Error())
+			}
+			r.Value = value
 		}
 		writes = append(writes, c.write([]storekeeper.Record{r}, func(err error) {
 			c.retryAfter(err, func() { s.changedVMs[name] = struct{}{} })
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,14 +23,22 @@
 	// surveyTimeout bounds the wait for the responses of all entries when the agent starts. An entry that is frozen or cut off delays the agent
 	// by that time.
 	surveyTimeout = 300 * time.Millisecond
+	// surveyPatience is how long the agent waits for the responses of all entries before it reports to the owner that the others have named. Most
+	// entries respond within it.
+	surveyPatience = 100 * time.Millisecond
 	// unawareOwnerTimeout is how long an owner that has a successor may not be aware of it. It is the time for which owners permit agents to
 	// renew leases without contact to the store.
 	unawareOwnerTimeout = 2 * time.Second
 	// maxSurveyed is the maximum number of entries that a new agent process asks for the owner. In a larger installation it can't rule out that
 	// another entry knows of a later owner.
 	maxSurveyed = 12
-	// ownerRetryPause is the time between two reports while no owner accepts them.
-	ownerRetryPause = 60 * time.Millisecond
+	// ownerRetryPause is the time between two reports while no owner accepts them. While none is known, it doubles with each round of reports to all known
+	// entries, up to maxOwnerRetryPause: the reports of hundreds of agents without an owner would take all processor time of thin entries, also that
+	// of the election. A new owner calls all agents, so few wait for their next report.
+	ownerRetryPause    = 60 * time.Millisecond
+	maxOwnerRetryPause = 480 * time.Millisecond
+	// maxOwnerRetryDoublings is the number of doublings after which ownerRetryPause has reached maxOwnerRetryPause.
+	maxOwnerRetryDoublings = 3
 	// A fencing token consists of the epoch, the session and a counter, from the highest bits to the lowest. So the tokens of an agent process
 	// are above those of all earlier processes of its VM. The epoch may have 28 bits. Up to 17 bits the tokens are below 2^53, so that they are
 	// exact also for programs that read JSON numbers as floats.
@@ -117,7 +126,18 @@
 
 // reportLoop sends reports to the owner, one at a time, until ctx is done. It looks for the owner while none accepts the reports.
 func (a *Attendant) reportLoop(ctx context.Context) {
-	a.surveyEntries(ctx)
+	ended := make(chan struct{})
+	a.refuseStartsAtFirst()
+	go func() {
+		defer close(ended)
+		if a.surveyEntries(ctx) {
+			a.mutex.Lock()
+			defer a.mutex.Unlock()
+			a.acceptStarts("all-entries")
+		}
+	}()
+	defer func() { <-ended }()
+	a.awaitSurvey(ctx, ended)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for failures := 0; ; {
@@ -138,8 +158,19 @@
 		if failures%(len(a.Seeds)+2) == 0 {
 			a.discoverEntries(ctx)
 		}
-		timer.Reset(ownerRetryPause)
+		timer.Reset(a.retryPause(failures))
+	}
+}
+
+// retryPause returns the time until the next report after a number of reports in a row that no owner has accepted.
+func (a *Attendant) retryPause(failures int) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.owner != "" {
+		return ownerRetryPause
 	}
+	rounds := failures / max(1, len(a.Seeds)+len(a.entries))
+	return min(ownerRetryPause<<min(rounds, maxOwnerRetryDoublings), maxOwnerRetryPause)
 }
 
 // requestedInterval returns the shortest time between two reports without results that the owner has asked for.
@@ -149,15 +180,45 @@
 	return a.ownerReportInterval
 }
 
+// awaitSurvey waits until the survey has ended, or until surveyPatience is over and an owner is known.
+func (a *Attendant) awaitSurvey(ctx context.Context, ended <-chan struct{}) {
+	timer := time.NewTimer(surveyPatience)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-ended:
+		return
+	case <-timer.C:
+	}
+	for !a.ownerKnown() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended:
+			return
+		case <-a.reportRequests:
+		}
+	}
+}
+
+// ownerKnown reports whether the address of the owner is known.
+func (a *Attendant) ownerKnown() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.owner != ""
+}
+
 // surveyEntries sends a report to each known entry, or to maxSurveyed of them, and stores the owner with the highest epoch in the responses. A new
 // agent process knows no epoch. Without the survey it could obey a former owner that is not aware of its successor yet, although the previous
-// process had reported to the successor. If an entry does not respond or was not asked, that entry may be the successor, and the agent refuses starts until no
-// former owner can be unaware of it.
-func (a *Attendant) surveyEntries(ctx context.Context) {
+// process had reported to the successor. It returns whether all entries have responded. Otherwise an entry that does not respond or was not asked may be
+// the successor, and the agent refuses starts until no former owner can be unaware of it, or until the owner was confirmed.
+func (a *Attendant) surveyEntries(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
 	asked := map[string]struct{}{}
 	entries, entryCount := a.Seeds, 0
+	var silent atomic.Bool
 	for len(entries) > 0 && len(asked) < maxSurveyed && ctx.Err() == nil {
 		var (
 			group sync.WaitGroup
@@ -175,11 +236,14 @@
 				if err != nil {
 					a.Log.Info().Err(err).Str("entry", entry).Msg("entry has not told the new agent process of an owner")
 					// A partition may refuse the connection in place of the entry.
-					a.refuseStartsAtFirst()
+					silent.Store(true)
 					return
 				}
 				a.mutex.Lock()
 				a.observeOwner(response.Epoch, response.Owner)
+				if a.owner != "" {
+					a.requestReport()
+				}
 				a.mutex.Unlock()
 				mutex.Lock()
 				found, entryCount = append(found, response.Entries...), max(entryCount, response.EntryCount)
@@ -189,9 +253,7 @@
 		group.Wait()
 		entries = slices.DeleteFunc(found, func(entry string) bool { _, ok := asked[entry]; return ok })
 	}
-	if len(entries) > 0 || entryCount > len(asked) {
-		a.refuseStartsAtFirst()
-	}
+	return !silent.Load() && len(entries) == 0 && entryCount <= len(asked)
 }
 
 // refuseStartsAtFirst makes a new agent process refuse starts until no former owner can be unaware of its successor.
@@ -201,18 +263,22 @@
 	a.startsRefusedUntil = a.startedAt.Add(unawareOwnerTimeout)
 }
 
-// acceptStarts ends the refusal of starts, because the owner of the current epoch had no successor after the previous agent process had ended. source
-// names the message that says so. The refusal then has no reason for later epochs either: the previous process cannot have known a higher one than the
-// current epoch. The caller holds the mutex.
+// acceptStarts ends the refusal of starts, because the previous agent process cannot have known a higher epoch than the current one: all entries have told
+// their epochs, or the owner had no successor after that process had ended. So the refusal has no reason for later epochs either. source says, for the log,
+// what shows that. The caller holds the mutex.
 func (a *Attendant) acceptStarts(source string) {
 	remaining := a.startsRefusedUntil.Sub(a.Clock.Now())
 	if remaining <= 0 {
 		return
 	}
 	a.startsRefusedUntil = time.Time{}
-	a.Meter.Count("refusals-ended-early")
+	a.Meter.Count("refusals-ended-" + source)
 	a.Log.Info().Uint64("epoch", a.epoch).Uint64("session", a.session).Str("source", source).Dur("remaining", remaining).
-		Msg("starts are accepted: the owner had no successor when the previous agent process ended")
+		Msg("starts are accepted: the previous agent process cannot have reported to a later owner")
+	if !a.reportedAt.IsZero() {
+		// The owner has been told of the refusal.
+		a.requestReport()
+	}
 }
 
 // reportTarget returns the address for the next report. It is that of the owner or, while no owner is known, that of each known entry in
@@ -260,7 +326,7 @@
 	}
 	a.updateSession(response, r)
 	if response.OwnerConfirmed && response.Session != 0 && response.Session == a.session {
-		a.acceptStarts("report response")
+		a.acceptStarts("report-response")
 	}
 	a.ownerReportInterval = min(response.ReportInterval, maxReportInterval)
 	if response.Granted {
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -166,8 +166,8 @@
 		// epoch is the highest known epoch. owner is the address of its owner, or "" if that is unknown or did not respond.
 		epoch uint64
 		owner string
-		// startsRefusedUntil is when the agent may execute starts, although an entry has not responded when the process started. It is the zero time
-		// if all have, or once the owner was confirmed.
+		// startsRefusedUntil is when the agent may execute starts although not all entries have responded since the process was started. It is the zero
+		// time if all have, or once the owner was confirmed.
 		startsRefusedUntil time.Time
 		// entries are the addresses of entries in the last response to a report or in the last result of DiscoverEntries.
 		entries []string
