--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -109,11 +109,11 @@
 		violation string
 		// silences holds when an entry begins to respond to an agent process, by both names.
 		silences map[string]time.Time
-		// silentEntry is the entry that responds to no agent, or empty. entryMbps is the bandwidth of the link of each entry, or 0 if transfers take no
-		// time. entryFreeAt is when the link of an entry and its processors are free.
-		silentEntry string
-		entryMbps   float64
-		entryFreeAt map[string]time.Time
+		// silentEntry is the entry that responds to no agent, or empty. entryMbps is the bandwidth of the link of each entry, or 0 if messages take no
+		// time there, entryProcessors the number of its processors. entryFreeAt is when both are free.
+		silentEntry                string
+		entryMbps, entryProcessors float64
+		entryFreeAt                map[string]time.Time
 		// refusedStarts is the number of refused starts by the reason, confirmations that of the requests for a confirmation of the ownership.
 		refusedStarts map[string]int
 		confirmations int
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -340,7 +340,7 @@
 	return true
 }
 
-// composeReport returns a report and the current time. A grant in the response counts from that time.
+// composeReport returns a report and the current time. It contains no runs while this process has no number. A grant in the response counts from that time.
 func (a *Attendant) composeReport() (messenger.Report, time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -352,6 +352,11 @@
 		UnreadableTasks: a.unreadableTasks, UnnamedRuns: a.unnamedRuns, UnknownRuns: a.listed && !a.allRunsKnown,
 		ResultsMissing: a.listed && a.resultsMissing,
 	}
+	if a.session == 0 {
+		// An owner only numbers the process in response to such a report. After the end of an owner all agents send one at the same time.
+		r.Listed, r.Results, r.UnreadableTasks = false, nil, nil
+		return r, now
+	}
 	if refusedFor := a.startsRefusedUntil.Sub(now); refusedFor > 0 {
 		r.StartsRefusedFor = refusedFor
 	}
