Throttle the least valuable best-effort work first while processors are scarce

Cause: with too little room for best-effort work, the tasks that interfere most with victims were throttled first, whatever their jobs were. All jobs progressed at half pace, most missed their objectives, and runs were stopped and moved between VMs in the same state.

Change: the assessor recognises a shortage from the share of the requested processors that paces leave unused. While it lasts, the pacer throttles the tasks first whose work is worth least for the utilisation that they add (appraiser: value of the job by the work that remains, less if it will be late), keeps less distance to the limits of victims, and runs move only if they hardly work and have not moved just before. Without a shortage everything is as before.

--- a/internal/batch/bookkeeper/accessors.go
+++ b/internal/batch/bookkeeper/accessors.go
@@ -100,5 +100,16 @@
 	return work
 }
 
+// Work returns the estimated work of one occurrence of the job, in processor seconds. Tasks that do not end are left out.
+func (j *Job) Work() float64 {
+	work := 0.0
+	for _, s := range j.Steps {
+		if !s.LongRunning {
+			work += float64(s.TaskCount) * s.Estimate.Seconds() * float64(s.Size.MilliProcessors) / 1000
+		}
+	}
+	return work
+}
+
 // ReadyAt returns when the step became ready, that is, when all tasks of the steps that it depends on were done, by WaitingClock.
 func (s *Step) ReadyAt() time.Time { return s.readyAt }
--- a/internal/batch/coordinator/calls.go
+++ b/internal/batch/coordinator/calls.go
@@ -165,6 +165,7 @@
 	switch {
 	case err == nil:
 		added := s.jobs.Accept(j)
+		s.appraiser.Observe(j.Queue, added.Work())
 		s.acceptedQueues[j.Queue] = queue
 		c.cancelIfTombstoned(j.ID)
 		s.jobs.OpenDueOccurrences(added, c.WallClock.Now())
--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -11,6 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"bamboohook/internal/batch/antagonist"
+	"bamboohook/internal/batch/appraiser"
+	"bamboohook/internal/batch/assessor"
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/inquirer"
@@ -96,6 +98,11 @@
 		recordedUpdates        int
 		modelRecordRequestedAt time.Time
 		modelRecordDue         bool
+		// assessor recognises that best-effort work is short of processors, which was last checked at shortageCheckedAt. appraiser estimates what work is
+		// worth then.
+		assessor          assessor.Assessor
+		shortageCheckedAt time.Time
+		appraiser         appraiser.Appraiser
 		// inquirer chooses the requests to the Advisor and keeps its tickets.
 		inquirer inquirer.Inquirer
 		// loadLoggedAt is when the total load was last logged.
@@ -142,6 +149,7 @@
 	s.inquirer = inquirer.Inquirer{}
 	s.dispatcher = dispatcher.Dispatcher{}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
+	s.assessor, s.appraiser, s.shortageCheckedAt = assessor.Assessor{}, appraiser.Appraiser{}, now
 	c.restoreTombstones(records)
 	stored := groupRecords(records)
 	for _, r := range records {
@@ -184,6 +192,7 @@
 	}
 	j := s.jobs.Job(id)
 	s.acceptedQueues[accepted.Job.Queue] = accepted.Queue
+	s.appraiser.Observe(j.Queue, j.Work())
 	s.restoredJobs[j] = struct{}{}
 	if accepted.Epoch+1 == s.epoch {
 		s.predecessorsJobs[j] = struct{}{}
--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboohook/internal/batch/antagonist"
+	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/pacer"
 )
@@ -17,6 +18,12 @@
 	// minTimeOnVM is the shortest time that a run stays on the VM where it started before its task moves to another VM because of a low pace.
 	// The first measurements of the run take that long.
 	minTimeOnVM = 800 * time.Millisecond
+	// scarceMoveBelowPercent and scarceMinTimeOnVM replace the two while best-effort work is short of processors. Other VMs are then full as well, so a task
+	// only gains if it hardly works here, and a task that has just moved would be moved again.
+	scarceMoveBelowPercent = 20
+	scarceMinTimeOnVM      = 1600 * time.Millisecond
+	// shortageCheckInterval is the time between two checks whether best-effort work is short of processors.
+	shortageCheckInterval = 250 * time.Millisecond
 	// maxPaceRisePercent is the most that a pace rises within paceRiseInterval, the time between two measurements.
 	maxPaceRisePercent = 30
 	paceRiseInterval   = 240 * time.Millisecond
@@ -33,6 +40,7 @@
 // resume on another VM.
 func (c *Coordinator) updatePaces(v *vm, now time.Time) {
 	c.state.dispatcher.Model = &c.state.interferenceModel
+	v.pacer.SetProcessorsScarce(c.state.assessor.Short())
 	victims, programs := c.updateModel(v, now)
 	missedBefore := v.TargetMissed
 	paces := v.pacer.Paces(victims, c.bestEffortTasks(v, programs, now), now)
@@ -53,7 +61,7 @@
 		}
 		y.approachPace(pace, now)
 		throttledProcessors += y.task.Step.Size.MilliProcessors * int64(pacer.FullPercent-y.pace) / pacer.FullPercent
-		if y.shouldMove(now) && (slowest == nil || y.pace < slowest.pace) {
+		if y.shouldMove(now, c.state.assessor.Short()) && (slowest == nil || y.pace < slowest.pace) {
 			slowest = y
 		}
 		if y.isStuck(now) && (longestStuck == nil || y.paceLowSince.Before(longestStuck.paceLowSince)) {
@@ -105,7 +113,9 @@
 		}
 		share := float64(y.task.Step.Size.MilliProcessors) / float64(max(v.Capacity.MilliProcessors, 1))
 		y.updateLostTime(now)
-		f := pacer.BestEffortTask{Name: y.taskName, AddedUtilisation: make([]float64, len(victimPrograms)), Overdue: y.hasLostTooMuch()}
+		f := pacer.BestEffortTask{
+			Name: y.taskName, AddedUtilisation: make([]float64, len(victimPrograms)), Overdue: y.hasLostTooMuch(), Weight: share * c.valueOf(y.task.Step),
+		}
 		for n, program := range victimPrograms {
 			interference, _ := c.state.interferenceModel.Interference(program, y.task.Step.Program)
 			f.AddedUtilisation[n] = interference * share
@@ -115,6 +125,39 @@
 	return tasks
 }
 
+// valueOf returns what a processor second of work on the step is worth while best-effort work is short of processors, and 1 otherwise.
+func (c *Coordinator) valueOf(step *bookkeeper.Step) float64 {
+	j := step.Job
+	if !c.state.assessor.Short() {
+		return 1
+	}
+	prospect := dispatcher.Prospect(c.WallClock.Now(), step, c.queueOf(j).Queue)
+	return c.state.appraiser.ValuePerProcessorSecond(j.Queue, j.Work(), step.RemainingWork(), prospect)
+}
+
+// checkShortage updates whether best-effort work is short of processors: running tasks are throttled, or tasks wait.
+func (c *Coordinator) checkShortage(now time.Time) {
+	s := &c.state
+	if now.Sub(s.shortageCheckedAt) < shortageCheckInterval {
+		return
+	}
+	s.shortageCheckedAt = now
+	var requested, usable int64
+	for _, v := range s.vms {
+		requested += v.BestEffortProcessors()
+		usable += v.BestEffortProcessors() - v.ProcessorsUnusedByThrottled()
+	}
+	if !s.assessor.Observe(now, float64(requested), float64(usable)) {
+		return
+	}
+	short := s.assessor.Short()
+	if short {
+		c.Meter.Count("best-effort-shortages")
+	}
+	c.Log.Info().Bool("short", short).Int64("requested", requested).Int64("usable", usable).Float64("missing-share", s.assessor.MissingShare()).
+		Msg("availability of processors for best-effort work changed")
+}
+
 // moveIfFits stops the run if another VM has room for its task now.
 func (c *Coordinator) moveIfFits(y *run, now time.Time) {
 	vms, _ := c.dispatcherVMs(now)
@@ -184,8 +227,12 @@
 // shouldMove reports whether the task of the run should continue on another VM, if one has room: the run is needed, its pace is low, it is old enough to
 // have been measured, and its task has checkpoints, or has started overdue and not done much. A task that has lost too much time stays, because moving
 // without a bound would keep it from completing.
-func (x *run) shouldMove(now time.Time) bool {
-	return !x.hasLostTooMuch() && x.pace < moveBelowPercent && x.needed && !x.stopping && x.expectedInReports && now.Sub(x.knownSince) > minTimeOnVM &&
+func (x *run) shouldMove(now time.Time, processorsScarce bool) bool {
+	belowPercent, timeOnVM := moveBelowPercent, minTimeOnVM
+	if processorsScarce {
+		belowPercent, timeOnVM = scarceMoveBelowPercent, scarceMinTimeOnVM
+	}
+	return !x.hasLostTooMuch() && x.pace < belowPercent && x.needed && !x.stopping && x.expectedInReports && now.Sub(x.knownSince) > timeOnVM &&
 		(x.task.Step.Resumable || x.startedOverdue && x.lastReport.Progress < maxLostProgressPercent)
 }
 
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -85,6 +85,7 @@
 	for _, j := range s.jobs.LiveJobs() {
 		s.jobs.OpenDueOccurrences(j, wallTime)
 	}
+	c.checkShortage(now)
 	if now.Sub(s.loadLoggedAt) >= loadLogInterval {
 		s.loadLoggedAt = now
 		c.logLoad(now)
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bamboohook/internal/batch/appraiser"
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/resource"
 )
@@ -246,6 +247,17 @@
 	return classExpired
 }
 
+// Prospect returns what the step's job is worth if it completes as estimated. It assumes the same as the order of the waiting steps.
+func Prospect(wallTime time.Time, s *bookkeeper.Step, q Queue) appraiser.Prospect {
+	switch valueClass(wallTime, s, q) {
+	case classOnTime:
+		return appraiser.OnTime
+	case classLate:
+		return appraiser.Late
+	}
+	return appraiser.Expired
+}
+
 // longestChainDuration returns the estimated duration of the longest chain of dependent steps in the step's job, without the steps whose number is
 // below fromStep.
 func longestChainDuration(s *bookkeeper.Step, fromStep int) time.Duration {
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -85,6 +85,9 @@
 	v.processorsUnusedByThrottled = processors
 }
 
+// ProcessorsUnusedByThrottled returns the processors that best-effort tasks leave unused because they are throttled, in thousandths.
+func (v *VM) ProcessorsUnusedByThrottled() int64 { return v.processorsUnusedByThrottled }
+
 // Add adds a run of the task to the VM.
 func (v *VM) Add(t *bookkeeper.Task) { v.addRuns(t, 1) }
 
--- a/internal/batch/pacer/pacer.go
+++ b/internal/batch/pacer/pacer.go
@@ -16,6 +16,10 @@
 	// replaces it while the victim misses its target.
 	utilisationMargin  = 0.04
 	missedTargetMargin = 0.06
+	// scarceMargin and scarceMissedTargetMargin replace the two margins while best-effort work is short of processors. The distance then costs callers of
+	// best-effort jobs more than the users of a victim lose while its latency is close to the target.
+	scarceMargin             = 0.0
+	scarceMissedTargetMargin = 0.03
 	// pauseAfterShare is a share of MissTolerance. When some target has been missed without a break for longer than that, all best-effort
 	// tasks that interfere with a victim that misses its target are paused.
 	pauseAfterShare = 0.55
@@ -47,6 +51,9 @@
 		Name             string
 		AddedUtilisation []float64
 		Overdue          bool
+		// Weight is what the work of the task at full pace is worth, compared with that of the other tasks. Of the tasks that interfere with a victim,
+		// those whose work is worth least for the utilisation that they add are throttled first. Without weights, those that add most are.
+		Weight float64
 	}
 
 	// Pacer sets the paces on one VM. Set the exported fields before the first use. It is not safe for concurrent use.
@@ -55,6 +62,8 @@
 		// may make no progress.
 		MissTolerance time.Duration
 
+		// processorsScarce reports that best-effort work is short of processors.
+		processorsScarce bool
 		// missedSince is the time since which some target has been missed without a break, or the zero time if none is missed now.
 		missedSince time.Time
 		// workUntil is the end of the last work period, or the zero time if there was none.
@@ -62,10 +71,13 @@
 	}
 )
 
+// SetProcessorsScarce sets whether best-effort work is short of processors, so that less distance is kept to the limits of the victims.
+func (p *Pacer) SetProcessorsScarce(scarce bool) { p.processorsScarce = scarce }
+
 func share(s float64, d time.Duration) time.Duration { return time.Duration(s * float64(d)) }
 
 // Paces returns the pace of each best-effort task in percent, by the names of the tasks. If a victim's utilisation would be too close to
-// its limit with all tasks at full pace, Paces throttles the tasks that interfere most with the victim first. Overdue tasks work at full pace in
+// its limit with all tasks at full pace, Paces throttles the tasks first whose work is worth least for their interference with the victim. Overdue tasks work at full pace in
 // work periods, so that they make progress whatever the victims' own loads are.
 func (p *Pacer) Paces(victims []Victim, tasks []BestEffortTask, now time.Time) map[string]int {
 	anyMissed := slices.ContainsFunc(victims, func(v Victim) bool { return v.TargetMissed })
@@ -84,7 +96,7 @@
 			pauseInterfering(n, tasks, paceShares)
 			continue
 		}
-		reducePaceShares(n, v, tasks, paceShares)
+		reducePaceShares(n, v, p.margin(v), tasks, paceShares)
 	}
 	if p.inWorkPeriod(tasks, paceShares, now) {
 		for n, f := range tasks {
@@ -143,14 +155,23 @@
 	}
 }
 
+// margin returns the distance that is kept to the utilisation at which the victim misses its target.
+func (p *Pacer) margin(v Victim) float64 {
+	switch {
+	case p.processorsScarce && v.TargetMissed:
+		return scarceMissedTargetMargin
+	case p.processorsScarce:
+		return scarceMargin
+	case v.TargetMissed:
+		return missedTargetMargin
+	}
+	return utilisationMargin
+}
+
 // reducePaceShares reduces the tasks' shares of the full pace until the predicted utilisation of the victim is below its limit by the
-// margin (utilisationMargin, or missedTargetMargin if the victim misses its target), or all tasks that interfere with the victim are
-// paused.
-func reducePaceShares(victimIndex int, v Victim, tasks []BestEffortTask, paceShares []float64) {
-	excess := v.OwnLoad + utilisationMargin - v.Limit
-	if v.TargetMissed {
-		excess = v.OwnLoad + missedTargetMargin - v.Limit
-	}
+// margin, or all tasks that interfere with the victim are paused.
+func reducePaceShares(victimIndex int, v Victim, margin float64, tasks []BestEffortTask, paceShares []float64) {
+	excess := v.OwnLoad + margin - v.Limit
 	interferingIndexes := make([]int, 0, len(tasks))
 	for n, f := range tasks {
 		excess += f.AddedUtilisation[victimIndex] * paceShares[n]
@@ -159,7 +180,11 @@
 		}
 	}
 	slices.SortFunc(interferingIndexes, func(a, b int) int {
-		return cmp.Or(cmp.Compare(tasks[b].AddedUtilisation[victimIndex], tasks[a].AddedUtilisation[victimIndex]), cmp.Compare(tasks[a].Name, tasks[b].Name))
+		x, y := tasks[a], tasks[b]
+		return cmp.Or(
+			cmp.Compare(x.Weight/x.AddedUtilisation[victimIndex], y.Weight/y.AddedUtilisation[victimIndex]),
+			cmp.Compare(y.AddedUtilisation[victimIndex], x.AddedUtilisation[victimIndex]), cmp.Compare(x.Name, y.Name),
+		)
 	})
 	for _, n := range interferingIndexes {
 		if excess <= 0 {
