Let short tasks with a reservation have room before further long-running ones

Cause: a long-running task that had waited 2 s went before all others and held a VM, also while tasks that take a second waited for reserved room. It never leaves that room, so the shorter tasks, which the remaining room would just have carried, waited ever longer.

Free room is still taken at once by whatever fits.

--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -74,6 +74,8 @@
 		// held contains the VMs on which the current plan keeps room for the step heldFor, or none if that is nil.
 		held    map[*VM]bool
 		heldFor *bookkeeper.Step
+		// shortTasksWaiting is the highest priority of the waiting tasks that have a reservation and end, as highestPriorityOfShortTasks returns it.
+		shortTasksWaiting int
 		// planNumber is the number of the current plan.
 		planNumber uint64
 		// The next fields hold the processors of all VMs, in thousandths, if processorsCounted is set: those that are reserved, those that best-effort
@@ -149,6 +151,7 @@
 		v.startedStep = nil
 	}
 	sorted := sortSteps(wallTime, steps, queues)
+	d.shortTasksWaiting = highestPriorityOfShortTasks(now, sorted)
 	placements := d.placeStarving(now, sorted, queues, vms)
 	placedFirst := map[*bookkeeper.Task]bool{}
 	for _, p := range placements {
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,10 @@
 // from the beginning, and it gets no place of its own while shorter tasks fill all that becomes free.
 const longRunningWait = 2 * time.Second
 
+// shortTaskWait is how long a task with a reservation that ends must have waited for room to count as waiting. Most find room in the first plans after they
+// have become ready.
+const shortTaskWait = 250 * time.Millisecond
+
 // starvingTasks returns the tasks that are placed before all others: of each job that has no run, the task that has waited longest, if it is overdue or
 // has waited for StarvationTime. A task of a gang stands for the whole gang. So does, for each long-running step, a task that has waited for
 // longRunningWait. They come in the order of firstFrom, so that jobs whose runs fail again and again do not go before the others each time. Without
@@ -26,7 +31,7 @@
 	var starving []*bookkeeper.Task
 	for _, c := range steps {
 		if c.step.LongRunning {
-			if t := longestWaiting(c.step); t != nil && now.Sub(t.WaitingSince()) >= longRunningWait {
+			if t := longestWaiting(c.step); t != nil && now.Sub(t.WaitingSince()) >= d.longRunningWait(c) {
 				starving = append(starving, t)
 			}
 			continue
@@ -51,6 +56,34 @@
 	return starving
 }
 
+// longRunningWait returns how long a task of the long-running step waits until it goes before all others. While tasks with a reservation that end wait for
+// room, it goes before them only to begin a step: a long-running task takes the room that becomes free for ever, and each one that goes before shorter ones
+// would leave these less.
+func (d *Dispatcher) longRunningWait(c sortedStep) time.Duration {
+	switch {
+	case c.priority < d.shortTasksWaiting:
+		return longRunningWait
+	case slices.ContainsFunc(c.step.Tasks, func(t *bookkeeper.Task) bool { return !t.IsWaiting() && !t.IsDone() }):
+		return math.MaxInt64
+	}
+	return StarvationTime
+}
+
+// highestPriorityOfShortTasks returns the highest priority, which is the lowest number, of the steps with tasks that have a reservation, end and wait for
+// room. Without such steps it is below all priorities.
+func highestPriorityOfShortTasks(now time.Time, steps []sortedStep) int {
+	highest := math.MaxInt
+	for _, c := range steps {
+		if c.step.LongRunning || c.step.BestEffort {
+			continue
+		}
+		if t := longestWaiting(c.step); t != nil && now.Sub(t.WaitingSince()) >= shortTaskWait {
+			highest = min(highest, c.priority)
+		}
+	}
+	return highest
+}
+
 // firstFrom returns since when the task goes before others because of its wait. By this order, a task that fails again and again goes behind the others.
 func firstFrom(t *bookkeeper.Task) time.Time {
 	if t.Step.LongRunning {
