--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bamboohook/internal/batch/appraiser"
 	"bamboohook/internal/batch/bookkeeper"
 	"bamboohook/resource"
 )
@@ -73,6 +74,8 @@
 		// held contains the VMs on which the current plan keeps room for the step heldFor, or none if that is nil.
 		held    map[*VM]bool
 		heldFor *bookkeeper.Step
+		// shortTasksWaiting is the highest priority of the waiting tasks that have a reservation and end, as highestPriorityOfShortTasks returns it.
+		shortTasksWaiting int
 		// planNumber is the number of the current plan.
 		planNumber uint64
 		// The next fields hold the processors of all VMs, in thousandths, if processorsCounted is set: those that are reserved, those that best-effort
@@ -150,6 +153,7 @@
 		v.startedStep = nil
 	}
 	sorted := sortSteps(wallTime, steps, queues)
+	d.shortTasksWaiting = highestPriorityOfShortTasks(now, sorted)
 	placements := d.placeStarving(now, sorted, queues, vms)
 	placedFirst := map[*bookkeeper.Task]bool{}
 	for _, p := range placements {
@@ -248,6 +252,17 @@
 	return classExpired
 }
 
+// Prospect returns what the step's job is worth if it completes as estimated. It assumes the same as the order of the waiting steps.
+func Prospect(wallTime time.Time, s *bookkeeper.Step, q Queue) appraiser.Prospect {
+	switch valueClass(wallTime, s, q) {
+	case classOnTime:
+		return appraiser.OnTime
+	case classLate:
+		return appraiser.Late
+	}
+	return appraiser.Expired
+}
+
 // longestChainDuration returns the estimated duration of the longest chain of dependent steps in the step's job, without the steps whose number is
 // below fromStep.
 func longestChainDuration(s *bookkeeper.Step, fromStep int) time.Duration {
