Test the three classes on virtual time, and mend what these tests found

Cause: the simulated endpoints listed all results at once, were never silent, and compared the acknowledged number with results only when a request arrived. A result that was discarded by a request to an earlier process did not count. So the simulations could not show the three faults.

Change: the simulated endpoints may list a limited number of results, hold calls while they are silent and execute them later, and discard what a waiting request acknowledges; each discard counts. Scripts with a chosen order of events cover each class. Found and mended: - A start without an answer kept its task for good if the endpoint then stayed silent or ended for good. The agent drops it when all leases have expired; the owner still waits for the time in which it may reach the next process. - A suspended agent process took a response that had arrived long ago for a current one. A response that is read after its timeout counts as none. - A list request that was sent less than 60 ms before a start, and delayed, could still discard the result of that start at the next process. Each unanswered request that acknowledges results now raises the token of the next start.

--- a/internal/batch/coordinator/exclusion_endpoint_test.go
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -34,6 +34,15 @@
 	vmProcessors   = 4000
 	// lowestNumberedToken is the lowest fencing token of an agent process with a number, which is made of epoch, number and a counter of 12 bits.
 	lowestNumberedToken = 1 << 36
+	// The next constants limit the time between two silences of an endpoint and how long one lasts: some are shorter than a grant, some longer than all leases.
+	minSilencePeriod = 4 * time.Second
+	maxSilencePeriod = 16 * time.Second
+	minSilenceTime   = time.Second
+	maxSilenceTime   = 14 * time.Second
+	// heldCallShare is the share of the calls to a silent endpoint that are carried out when it responds again.
+	heldCallShare = 0.7
+	// maxListedResults is the limit of the results in a list of a world with limited lists.
+	maxListedResults = 1
 )
 
 type (
@@ -44,6 +53,13 @@
 		process *endpointProcess
 		// hasOddRow reports whether the lists contain a row without a readable task. hidesRuns makes such rows replace those of some tasks.
 		hasOddRow, hidesRuns bool
+		// maxListed, unless 0, is how many results are listed at a time.
+		maxListed int
+		// silent makes calls get no answer and sends no heartbeats. heldCalls holds the calls since then, which may be carried out when the silence ends.
+		silent    bool
+		heldCalls []func()
+		// sendsNoHeartbeats makes the endpoint send no heartbeats.
+		sendsNoHeartbeats bool
 	}
 
 	// endpointProcess is one incarnation of an endpoint. The mutex of the world protects it.
@@ -68,6 +84,8 @@
 		// heartbeats is the number of heartbeats sent.
 		heartbeats int64
 		draining   bool
+		// lastListedTo is the agent process that got the last list.
+		lastListedTo *agentProcess
 	}
 
 	endpointRun struct {
@@ -185,6 +203,9 @@
 	h := fnv.New64a()
 	fmt.Fprint(h, task, "/", number)
 	r := rand.New(rand.NewPCG(w.seed, h.Sum64()))
+	if w.runTime > 0 {
+		return messenger.RunDone, w.runTime
+	}
 	outcome := messenger.RunDone
 	if r.Float64() < failedRunShare {
 		outcome = messenger.RunFailed
@@ -237,27 +258,35 @@
 	return nil
 }
 
-// hold executes the part of a list request that changes the process. issuedAt is when the agent sent the request.
-func (p *endpointProcess) hold(q attendant.ListQuery, issuedAt time.Time) error {
+// hold executes the part of a list request that changes the process.
+func (p *endpointProcess) hold(q attendant.ListQuery) error {
 	if err := p.admit(q.EndpointID, q.FencingToken); err != nil {
 		return err
 	}
 	p.extendLease(q.DeadlineMS)
+	p.discard(q.RecordedSequence)
+	return nil
+}
+
+// discard makes the process forget the results up to the number.
+func (p *endpointProcess) discard(recorded int64) {
 	kept := p.results[:0:0]
 	for _, r := range p.results {
-		if r.Sequence > q.RecordedSequence {
+		if r.Sequence > recorded {
 			kept = append(kept, r)
 			continue
 		}
-		p.endpoint.world.resultDiscarded(p, r, issuedAt)
+		p.endpoint.world.resultDiscarded(p, r)
 	}
 	p.results = kept
-	return nil
 }
 
 // listing returns the response to a list request.
 func (p *endpointProcess) listing() attendant.Listing {
 	l := attendant.Listing{Incarnation: p.incarnation(), ClockMS: p.clockMS(), Results: append([]messenger.RunResult{}, p.results...)}
+	if limit := p.endpoint.maxListed; limit > 0 && len(l.Results) >= limit {
+		l.Results, l.ResultsMissing = l.Results[:limit], true
+	}
 	l.UnnamedRuns = p.endpoint.hasOddRow
 	for _, r := range p.runs {
 		p.saveCheckpoint(r)
@@ -298,8 +327,12 @@
 	}
 	defer c.agent.suspension.wait(c.agent.ctx, w)
 	var err error
-	var late, lost bool
+	var late, lost, silent bool
 	w.locked(func(w *simWorld) {
+		if silent = c.endpoint.silent && !w.calm && c.endpoint.process != nil; silent {
+			c.endpoint.holdCall(execute, c.agent.generation)
+			return
+		}
 		late, lost = !w.calm && w.chance(rates.late), !w.calm && w.chance(rates.lost)
 		switch {
 		case c.endpoint.process == nil:
@@ -312,6 +345,10 @@
 			w.log(task, "%s: a call of %s gets no answer; executed later: %t", c.endpoint.vm, c.agent.generation, late)
 		}
 	})
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if late {
 		c.executeLate(execute)
 	}
@@ -327,6 +364,41 @@
 	return err
 }
 
+// holdCall keeps a call until the silence ends. The caller holds the mutex of the world.
+func (e *simEndpoint) holdCall(execute func(p *endpointProcess, origin string) error, agent string) {
+	p, origin := e.process, fmt.Sprintf("held since %s, by %s", e.world.at(time.Now()), agent)
+	e.heldCalls = append(e.heldCalls, func() {
+		if p.lives() {
+			_ = execute(p, origin)
+		}
+	})
+}
+
+// endSilence makes the endpoint answer calls again. It first carries out a share of the calls that it has held, in their order. The caller holds the mutex.
+func (e *simEndpoint) endSilence(executedShare float64) {
+	held := e.heldCalls
+	e.silent, e.heldCalls = false, nil
+	e.world.log("", "%s: the endpoint responds again, %d held calls", e.vm, len(held))
+	for _, do := range held {
+		if e.world.chance(executedShare) {
+			do()
+		}
+	}
+}
+
+// silenceSometimes makes the endpoint silent from time to time.
+func (w *simWorld) silenceSometimes(e *simEndpoint) {
+	w.repeat(minSilencePeriod, maxSilencePeriod, func(w *simWorld) {
+		if e.silent {
+			return
+		}
+		e.silent = true
+		d := w.duration(minSilenceTime, maxSilenceTime)
+		w.log("", "%s: the endpoint is silent for %v", e.vm, d)
+		w.later(d, func(*simWorld) { e.endSilence(heldCallShare) })
+	})
+}
+
 // executeLate executes a call some seconds later at the endpoint process that then exists. The platform's contract excludes that a process executes
 // calls that were meant for an earlier one with its ID, because it holds nothing of before. So this is stricter, except while nobody could have
 // prevented it.
@@ -357,11 +429,11 @@
 	var resultAdded chan struct{}
 	waits := false
 	err := c.call(ctx, "", w.listFaults, func(p *endpointProcess, _ string) error {
-		if err := p.hold(q, issuedAt); err != nil {
+		if err := p.hold(q); err != nil {
 			return err
 		}
 		if time.Since(issuedAt) <= 2*maxCallDelay {
-			process, answer, resultAdded = p, p.listing(), p.resultAdded
+			process, answer, resultAdded, p.lastListedTo = p, p.listing(), p.resultAdded, c.agent
 			waits = len(answer.Results) == 0 && q.MaxWait > 0
 		}
 		return nil
@@ -378,16 +450,25 @@
 	case <-resultAdded:
 	case <-timer.C:
 	}
-	w.locked(func(*simWorld) {
+	silent := false
+	w.locked(func(w *simWorld) {
 		switch {
 		case !process.lives():
 			err = errEndpointEnded
+		case c.endpoint.silent && !w.calm:
+			silent = true
 		case q.FencingToken < process.highestToken:
 			err = attendant.ErrFenced
 		default:
+			// A request that waits also acknowledges the results that come meanwhile.
+			process.discard(q.RecordedSequence)
 			answer = process.listing()
 		}
 	})
+	if silent {
+		<-ctx.Done()
+		return attendant.Listing{}, ctx.Err()
+	}
 	w.pause(ctx, minCallDelay, maxCallDelay)
 	return answer, err
 }
--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -87,6 +87,16 @@
 		"odd rows, crashes and late calls":     {oddRows: true, crashes: true, lateCalls: true},
 		"odd rows, takeovers and late calls":   {oddRows: true, takeovers: true, lateCalls: true},
 		"odd rows, takeovers, agent kills":     {oddRows: true, takeovers: true, agentKills: true},
+		"limited lists and agent kills":        {limitedLists: true, agentKills: true},
+		"limited lists, kills and takeovers":   {limitedLists: true, agentKills: true, takeovers: true},
+		"limited lists with other faults":      {limitedLists: true, agentKills: true, takeovers: true, lateCalls: true, lateMessages: true},
+		"silent endpoints":                     {slow: true, silences: true},
+		"silent endpoints, takeovers":          {slow: true, silences: true, takeovers: true},
+		"silent endpoints, agent kills":        {slow: true, silences: true, agentKills: true},
+		"silent endpoints with other faults":   {slow: true, silences: true, agentKills: true, takeovers: true, lateCalls: true},
+		"silent endpoints, cuts, suspensions":  {slow: true, silences: true, cuts: true, suspensions: true, takeovers: true},
+		"silent endpoints and rebirths":        {slow: true, silences: true, crashes: true, sameIDs: true, limitedLists: true},
+		"rebirths with IDs":                    {crashes: true, sameIDs: true},
 		"no faults, which checks the test":     {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -135,26 +145,13 @@
 func playWorld(seed uint64, faults simFaults) string {
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	w := &simWorld{
-		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
-		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
-		jobs: map[string]job.Job{}, checkpoints: map[string]map[string]struct{}{},
-		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[simFailure]struct{}{},
-	}
+	w := newSimWorld(ctx, seed, faults)
 	if faults.lateCalls {
 		w.startFaults, w.listFaults = callFaults{late: 0.18, lost: 0.08}, callFaults{late: 0.02, lost: 0.01}
 	}
 	w.takeOver(0)
 	for n := range minVMs + w.draw(2) {
-		vm := fmt.Sprint("vm", n)
-		w.vms = append(w.vms, vm)
-		e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
-		w.locked(func(w *simWorld) {
-			w.endpoints[vm], w.agents[vm] = e, a
-			w.startEndpoint(e, w.name(vm+"/endpoint"))
-			w.startAgent(a)
-		})
-		go w.sendHeartbeats(e)
+		e, a := w.addVM(fmt.Sprint("vm", n))
 		w.injectFaults(e, a)
 	}
 	go w.takeOvers()
@@ -173,6 +170,32 @@
 	return w.violation
 }
 
+// newSimWorld returns a world without an owner and VMs.
+func newSimWorld(ctx context.Context, seed uint64, faults simFaults) *simWorld {
+	return &simWorld{
+		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
+		endpoints: map[string]*simEndpoint{}, agents: map[string]*simAgent{}, entries: map[string]*simOwner{}, records: simStore{values: map[string][]byte{}},
+		jobs: map[string]job.Job{}, checkpoints: map[string]map[string]struct{}{},
+		starts: map[string][]time.Time{}, doneEnds: map[string][]*doneEnd{}, failures: map[string]map[simFailure]struct{}{},
+	}
+}
+
+// addVM starts an endpoint and an agent on a new VM.
+func (w *simWorld) addVM(vm string) (*simEndpoint, *simAgent) {
+	w.vms = append(w.vms, vm)
+	e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
+	if w.faults.limitedLists {
+		e.maxListed = maxListedResults
+	}
+	w.locked(func(w *simWorld) {
+		w.endpoints[vm], w.agents[vm] = e, a
+		w.startEndpoint(e, w.name(vm+"/endpoint"))
+		w.startAgent(a)
+	})
+	go w.sendHeartbeats(e)
+	return e, a
+}
+
 // time returns how long the faults of the world last.
 func (f simFaults) time() time.Duration {
 	if f.slow {
@@ -216,6 +239,9 @@
 	if w.faults.oddRows {
 		go w.hideRuns(e)
 	}
+	if w.faults.silences {
+		go w.silenceSometimes(e)
+	}
 }
 
 // hideRuns makes odd rows replace those of some runs from time to time until the faults end. An odd row may be listed meanwhile and afterwards
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -70,6 +70,8 @@
 		agentKills, lateCalls, takeovers, lateMessages, crashes, sameIDs, cuts, suspensions, slow, steps, oddRows bool
 		// lastingSuspensions makes the agents of some VMs stand still until the end of the world.
 		lastingSuspensions bool
+		// limitedLists makes the endpoints list few results at a time. silences makes them answer nothing for some time.
+		limitedLists, silences bool
 	}
 
 	// callFaults holds the shares of the calls to an endpoint that are executed late and of those whose answer is lost.
@@ -86,6 +88,8 @@
 		drawMutex               sync.Mutex
 		random                  *rand.Rand
 		vms                     []string
+		// runTime, unless 0, is how long each run takes that ends by itself; none fails then.
+		runTime time.Duration
 
 		mutex     sync.Mutex
 		calm      bool
@@ -338,15 +342,15 @@
 	}
 }
 
-// resultDiscarded checks the run of a result that an endpoint process forgets because it is recorded. issuedAt is when the agent said so.
-// A request that was meant for an earlier process does not count as a record.
-func (w *simWorld) resultDiscarded(p *endpointProcess, r messenger.RunResult, issuedAt time.Time) {
+// resultDiscarded checks the run of a result that an endpoint process forgets because a request acknowledges it. A request that was sent to an earlier process
+// counts as well, because what is forgotten is lost.
+func (w *simWorld) resultDiscarded(p *endpointProcess, r messenger.RunResult) {
 	for _, d := range w.doneEnds[r.Task] {
 		if d.process != p || d.sequence != r.Sequence {
 			continue
 		}
-		if d.void || issuedAt.Before(p.bornAt) {
-			w.log(r.Task, "%s forgets the end of run %d, which does not count as recorded", p.id, d.number)
+		if d.void {
+			w.log(r.Task, "%s forgets the end of run %d, whose lease has expired since", p.id, d.number)
 			continue
 		}
 		w.log(r.Task, "%s forgets the end of run %d as recorded", p.id, d.number)
@@ -400,7 +404,7 @@
 		var h attendant.Heartbeat
 		var a *agentProcess
 		w.locked(func(w *simWorld) {
-			if e.process != nil {
+			if e.process != nil && !e.sendsNoHeartbeats && (!e.silent || w.calm) {
 				h, a = e.process.heartbeat(), w.agents[e.vm].process
 			}
 		})
--- a/internal/fleet/attendant/attendant_test.go
+++ b/internal/fleet/attendant/attendant_test.go
@@ -592,35 +592,39 @@
 
 	// Guards against a task that runs again after it is done: a list request that makes the endpoint forget recorded results, and is delayed, reaches the next
 	// process with the same ID, which numbers its results anew, after that process has executed a start.
-	It("keeps a delayed list request from discarding the result of a start that a later endpoint process has executed", func() {
-		Expect(a.HandleOrders(ctx, orders(start("b.0.0.0", 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
-		e.mutex.Lock()
-		e.finish("b.0.0.0", messenger.RunDone)
-		e.mutex.Unlock()
-		// The first request that makes the endpoint forget the result is delayed. A repeat of it takes effect.
-		hold := make(chan struct{})
-		e.mutex.Lock()
-		e.listHold = hold
-		e.mutex.Unlock()
-		o.mutex.Lock()
-		o.recordedSequence = 1
-		o.mutex.Unlock()
-		Eventually(func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return len(e.results) }).Should(BeZero())
-		Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listHeld }).Should(BeTrue())
-		// The request is overdue after that time, because the endpoint would have answered it.
-		time.Sleep(700 * time.Millisecond)
-		// The agent does not know of the replacement, so the start goes to the process with the same ID.
-		e.replace()
-		Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
-		e.mutex.Lock()
-		e.finish(task, messenger.RunDone)
-		e.mutex.Unlock()
-		close(hold)
-		Eventually(func() error { e.mutex.Lock(); defer e.mutex.Unlock(); return e.lateListErr }).Should(MatchError(attendant.ErrFenced))
-		e.mutex.Lock()
-		defer e.mutex.Unlock()
-		Expect(e.results).To(HaveLen(1))
-	})
+	for name, delay := range map[string]time.Duration{"": 700 * time.Millisecond, ", which was sent just before the start": 0} {
+		It("keeps a delayed list request from discarding the result of a start that a later endpoint process has executed"+name, func() {
+			Expect(a.HandleOrders(ctx, orders(start("b.0.0.0", 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+			e.mutex.Lock()
+			e.finish("b.0.0.0", messenger.RunDone)
+			e.mutex.Unlock()
+			// The first request that makes the endpoint forget the result is delayed. A repeat of it takes effect.
+			hold := make(chan struct{})
+			e.mutex.Lock()
+			e.listHold = hold
+			e.mutex.Unlock()
+			o.mutex.Lock()
+			o.recordedSequence = 1
+			o.mutex.Unlock()
+			Eventually(func() bool { e.mutex.Lock(); defer e.mutex.Unlock(); return e.listHeld }).WithPolling(time.Millisecond).Should(BeTrue())
+			if delay > 0 {
+				Eventually(func() int { e.mutex.Lock(); defer e.mutex.Unlock(); return len(e.results) }).Should(BeZero())
+			}
+			// After the longer time the request is overdue, because the endpoint would have answered it.
+			time.Sleep(delay)
+			// The agent does not know of the replacement, so the start goes to the process with the same ID.
+			e.replace()
+			Expect(a.HandleOrders(ctx, orders(start(task, 1))).Starts[0].Outcome).To(Equal(messenger.StartDone))
+			e.mutex.Lock()
+			e.finish(task, messenger.RunDone)
+			e.mutex.Unlock()
+			close(hold)
+			Eventually(func() error { e.mutex.Lock(); defer e.mutex.Unlock(); return e.lateListErr }).Should(MatchError(attendant.ErrFenced))
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			Expect(e.results).To(HaveLen(1))
+		})
+	}
 
 	// Guards against an agent that delays its report to a new owner because it waits for the list of entries in the store.
 	It("reports to a new owner at once while the list of entries cannot be read", func() {
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -174,7 +174,7 @@
 	if a.listed && sentAt.Before(a.grantedUntil) && !a.endpointOverdue(sentAt) {
 		q.DeadlineMS, a.lastLeaseAt = a.leaseDeadlineMS(sentAt), sentAt
 	}
-	d := a.beginDiscard(q, sentAt)
+	d := a.beginDiscard(q)
 	a.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+listTimeoutMargin)
 	defer cancel()
@@ -184,6 +184,11 @@
 	if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherIncarnation) {
 		a.endDiscard(d)
 	}
+	// A process that was suspended may read a response that arrived long ago. What it says is outdated.
+	late := err == nil && a.Clock.Now().Sub(sentAt) > wait+listTimeoutMargin
+	if late {
+		err = errUnanswered
+	}
 	if err != nil && ctx.Err() != nil {
 		// Another request has been answered, or the agent ends.
 		return err
@@ -191,7 +196,7 @@
 	defer a.notifyListEnded()
 	if err != nil {
 		a.handleListError(err, q)
-		if callCtx.Err() != nil {
+		if late || callCtx.Err() != nil {
 			a.checkSilence(sentAt)
 			return errUnanswered
 		}
@@ -224,6 +229,7 @@
 	a.Meter.Count("endpoint-silent")
 	a.silent, a.listed = true, false
 	a.dropConfirmedRuns()
+	a.dropExpiredStarts(sentAt)
 	a.requestReport()
 }
 
@@ -238,22 +244,34 @@
 	}
 }
 
-// discard is a list request that makes the endpoint process with the incarnation forget results. Without an answer at overdueAt, it may not have reached
-// that process yet.
-type discard struct {
-	token       uint64
-	incarnation int64
-	overdueAt   time.Time
+// dropExpiredStarts removes the runs whose starts were not answered, if the leases of all starts had expired at the time: the endpoint then executes none
+// of them any more. The owner knows how long one of them may reach the next endpoint process. The caller holds the mutex.
+func (a *Attendant) dropExpiredStarts(now time.Time) {
+	if now.Sub(a.lastLeaseAt) <= a.LeaseDurations.Run+leaseMargin {
+		return
+	}
+	for task, x := range a.runs {
+		if x.phase == phaseUnknown {
+			a.Log.Warn().Str("task", task).Int("run", x.Number).Int64("life", a.incarnation).Dur("since-renewal", now.Sub(a.lastLeaseAt)).
+				Msg("start without an answer counts as expired, since the endpoint does not respond")
+			delete(a.runs, task)
+			a.requestReport()
+		}
+	}
 }
 
+// discard is a list request that makes the endpoint forget results and has not been answered. It may not have reached the endpoint yet, and then reach the
+// next process with the same ID.
+type discard struct{ token uint64 }
+
 // beginDiscard adds the list request to the discards if it makes the endpoint forget results, and returns nil otherwise. The caller holds the mutex.
-func (a *Attendant) beginDiscard(q ListQuery, sentAt time.Time) *discard {
+func (a *Attendant) beginDiscard(q ListQuery) *discard {
 	if q.RecordedSequence == 0 {
 		return nil
 	}
-	d := &discard{q.FencingToken, a.incarnation, sentAt.Add(q.MaxWait + repeatInterval)}
+	d := &discard{q.FencingToken}
 	if len(a.discards) == maxDiscards {
-		// The oldest one has the earliest time, and the others of its token have no further effect.
+		// The others of its token have the same effect.
 		a.discards = slices.Delete(a.discards, 1, 2)
 	}
 	a.discards = append(a.discards, d)
@@ -265,13 +283,10 @@
 	a.discards = slices.DeleteFunc(a.discards, func(other *discard) bool { return other == d })
 }
 
-// fenceDiscards raises the token above those of list requests that make the endpoint forget results, if they are overdue or were sent to an earlier endpoint
-// process, so that no process carries them out after a start with that token. The caller holds the mutex.
+// fenceDiscards raises the token above those of unanswered list requests that make the endpoint forget results, so that no process carries them out after a
+// start with that token. The caller holds the mutex.
 func (a *Attendant) fenceDiscards() {
-	now := a.Clock.Now()
-	if slices.ContainsFunc(a.discards, func(d *discard) bool {
-		return d.token == a.fencingToken && (d.incarnation != a.incarnation || !now.Before(d.overdueAt))
-	}) {
+	if slices.ContainsFunc(a.discards, func(d *discard) bool { return d.token == a.fencingToken }) {
 		a.raiseToken()
 	}
 	a.discards = slices.DeleteFunc(a.discards, func(d *discard) bool { return d.token < a.fencingToken })
@@ -325,6 +340,9 @@
 		return
 	}
 	a.refusedConnections++
+	if a.refusedConnections >= maxRefusedConnections {
+		a.dropExpiredStarts(a.Clock.Now())
+	}
 	if a.refusedConnections != maxRefusedConnections {
 		return
 	}
