Send a pace of 0 again also by a new owner

Cause: a new owner counted the pace 0 as confirmed for every run that it found. A run whose pace fell to 0 before any pace was confirmed was never throttled. Change: the pace of a run that an owner finds is unconfirmed. One test covers the new agent process and the new owner.

--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -335,7 +335,7 @@
 
 // adoptRun adds a reported run that this owner did not start, and stops the run if its task does not need it.
 func (c *Coordinator) adoptRun(v *vm, reported messenger.Run, now time.Time) *run {
-	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: 100, lostTimeAt: now}
+	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: pacer.FullPercent, confirmedPace: unconfirmedPace, lostTimeAt: now}
 	if id, ok := job.ParseTask(reported.Task); ok {
 		x.task = c.state.jobs.Task(id)
 	}
