--- a/internal/batch/coordinator/exclusion_test.go
+++ b/internal/batch/coordinator/exclusion_test.go
@@ -91,6 +91,16 @@
 		"silent entries and late messages":     {silentEntries: true, takeovers: true, agentKills: true, lateMessages: true, lateCalls: true},
 		"silent entries, crashes of both":      {silentEntries: true, takeovers: true, agentKills: true, crashes: true},
 		"silent entries with suspensions":      {silentEntries: true, slow: true, suspensions: true, takeovers: true, agentKills: true},
+		"limited lists and agent kills":        {limitedLists: true, agentKills: true},
+		"limited lists, kills and takeovers":   {limitedLists: true, agentKills: true, takeovers: true},
+		"limited lists with other faults":      {limitedLists: true, agentKills: true, takeovers: true, lateCalls: true, lateMessages: true},
+		"silent endpoints":                     {slow: true, silences: true},
+		"silent endpoints, takeovers":          {slow: true, silences: true, takeovers: true},
+		"silent endpoints, agent kills":        {slow: true, silences: true, agentKills: true},
+		"silent endpoints with other faults":   {slow: true, silences: true, agentKills: true, takeovers: true, lateCalls: true},
+		"silent endpoints, cuts, suspensions":  {slow: true, silences: true, cuts: true, suspensions: true, takeovers: true},
+		"silent endpoints and rebirths":        {slow: true, silences: true, crashes: true, sameIDs: true, limitedLists: true},
+		"rebirths with IDs":                    {crashes: true, sameIDs: true},
 		"no faults, which checks the test":     {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -135,6 +145,7 @@
 	return seeds
 }
 
+// newSimWorld returns a world without an owner and VMs.
 func newSimWorld(ctx context.Context, seed uint64, faults simFaults) *simWorld {
 	return &simWorld{
 		seed: seed, faults: faults, startedAt: time.Now(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)),
@@ -154,15 +165,7 @@
 	}
 	w.takeOver(0)
 	for n := range minVMs + w.draw(2) {
-		vm := fmt.Sprint("vm", n)
-		w.vms = append(w.vms, vm)
-		e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
-		w.locked(func(w *simWorld) {
-			w.endpoints[vm], w.agents[vm] = e, a
-			w.startEndpoint(e, w.name(vm+"/endpoint"))
-			w.startAgent(a)
-		})
-		go w.sendHeartbeats(e)
+		e, a := w.addVM(fmt.Sprint("vm", n))
 		w.injectFaults(e, a)
 	}
 	go w.takeOvers()
@@ -181,6 +184,22 @@
 	return w.violation
 }
 
+// addVM starts an endpoint and an agent on a new VM.
+func (w *simWorld) addVM(vm string) (*simEndpoint, *simAgent) {
+	w.vms = append(w.vms, vm)
+	e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
+	if w.faults.limitedLists {
+		e.maxListed = maxListedResults
+	}
+	w.locked(func(w *simWorld) {
+		w.endpoints[vm], w.agents[vm] = e, a
+		w.startEndpoint(e, w.name(vm+"/endpoint"))
+		w.startAgent(a)
+	})
+	go w.sendHeartbeats(e)
+	return e, a
+}
+
 // time returns how long the faults of the world last.
 func (f simFaults) time() time.Duration {
 	if f.slow {
@@ -224,6 +243,9 @@
 	if w.faults.oddRows {
 		go w.hideRuns(e)
 	}
+	if w.faults.silences {
+		go w.silenceSometimes(e)
+	}
 }
 
 // hideRuns makes odd rows replace those of some runs from time to time until the faults end. An odd row may be listed meanwhile and afterwards
