Let tasks wait for their preferred rack while that pays off

The rack was only a preference among the VMs with free capacity, so a task started elsewhere, where it takes RemoteFactor times as long, although a place on its rack would become free a moment later.

The package delayer learns how often runs end on each rack, how much the rack is demanded and how long tasks take compared with their estimates. A task waits while its own expected delay and that of later tasks for the rack (Naor's rule) are below what a start there gains. Its wait ends after the time that it saves, when a start elsewhere would miss the objective, and after 2 s while its job has no run. Long-running, overdue and starving tasks, those that resume from a checkpoint, and racks without a VM where the end of a run makes room are left out. A gang with SameRack waits for one rack as a whole.

--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 
 	"bamboohook/internal/batch/antagonist"
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/delayer"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/inquirer"
 	"bamboohook/internal/fleet/messenger"
@@ -141,6 +142,10 @@
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
 	s.inquirer = inquirer.Inquirer{}
 	s.dispatcher = dispatcher.Dispatcher{}
+	if c.Limits.RemoteFactor > 1 {
+		// What an earlier owner has learnt is lost. Until enough runs have ended, no task waits for its rack.
+		s.dispatcher.Delayer = &delayer.Delayer{RemoteFactor: c.Limits.RemoteFactor}
+	}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
 	c.restoreTombstones(records)
 	stored := groupRecords(records)
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -71,6 +71,8 @@
 		MissTolerance time.Duration
 		// StopTimeout is the longest time between the confirmation of a stop by an endpoint and the end of the run.
 		StopTimeout time.Duration
+		// RemoteFactor is the ratio of the duration of a task off its preferred rack to that on it. Up to 1, no task waits for its rack.
+		RemoteFactor float64
 		// RecordBytes is the size of the largest record that the store accepts, RequestBytes that of all records in one write. 0 means no limit.
 		RecordBytes  int
 		RequestBytes int
@@ -225,6 +227,8 @@
 		waited time.Duration
 		// startedOverdue reports whether the task was overdue when the run was placed on the VM.
 		startedOverdue bool
+		// offRack reports whether the run is off the preferred rack of its task, or its gang on several racks that should be on one.
+		offRack bool
 		// paceLowSince is when the pace fell below stuckBelowPercent, or the zero time if it is not below that now.
 		paceLowSince time.Time
 	}
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -260,6 +260,7 @@
 		}
 		c.addRun(p, coordinatorVMs[p.VM], number, now)
 	}
+	c.logBegunRackWaits()
 	return advisedSteps
 }
 
@@ -320,6 +321,7 @@
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
 		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, waited: waited, lostTime: waited, lostTimeAt: now, startedOverdue: p.Overdue,
+		offRack: p.OffRack,
 	}
 	if c.queueOf(t.Step.Job).Advised {
 		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
@@ -328,9 +330,17 @@
 	c.runsChanged(v)
 	v.breaker.Started(now)
 	c.state.runs[t] = x
-	c.Log.Info().Str("task", x.taskName).Int("run", number).Str("vm", v.Name).Dur("report-age", now.Sub(v.lastReportAt)).
+	c.startedForRack(p, v, now)
+	entry := c.Log.Info().Str("task", x.taskName).Int("run", number).Str("vm", v.Name).Dur("report-age", now.Sub(v.lastReportAt)).
 		Dur("waited", waited).Int64("serving", v.LongRunningProcessors()).Int64("filling", v.BestEffortProcessors()).
-		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("overdue", p.Overdue).Bool("strained", v.TargetMissed).Msg("run placed on a VM")
+		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("overdue", p.Overdue).Bool("strained", v.TargetMissed)
+	if t.Step.PreferredRack != "" || t.Step.SameRack {
+		entry.Bool("off-rack", p.OffRack).Str("rack-reason", p.OffRackReason)
+	}
+	if w := p.RackWait; w != nil {
+		entry.Str("rack", w.Rack).Dur("rack-waited", now.Sub(w.Since)).Dur("rack-expected", w.Decision.Expected)
+	}
+	entry.Msg("run placed on a VM")
 }
 
 // confirmRun records that a run certainly exists or has existed on its VM.
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -372,6 +372,7 @@
 		c.state.interferenceModel.ForgetGroup(stepName(x.task.Step), x.task.Step.Program)
 	}
 	wasNeeded := x.needed
+	c.learnFromEnd(x, result, now)
 	c.Meter.Count("ends-" + result.Outcome)
 	if c.state.runs[x.task] == x {
 		delete(c.state.runs, x.task)
--- a/internal/batch/dispatcher/benchmark_test.go
+++ b/internal/batch/dispatcher/benchmark_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/delayer"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/job"
 	"bamboohook/resource"
@@ -86,3 +87,55 @@
 		})
 	}
 }
+
+// BenchmarkPlanWithRacks measures a plan of 300 VMs on 20 racks while many tasks wait for places on full racks and could start on the others.
+func BenchmarkPlanWithRacks(b *testing.B) {
+	for name, factor := range map[string]float64{"waiting": 2, "never waiting": 0} {
+		b.Run(name, func(b *testing.B) {
+			now := time.UnixMilli(1_000_000)
+			size := resource.Amount{MilliProcessors: 1000, MemoryBytes: 1000}
+			keeper, d := bookkeeper.New(), &dispatcher.Dispatcher{Delayer: &delayer.Delayer{RemoteFactor: factor}}
+			accept := func(id string, step job.Step) *bookkeeper.Job {
+				j := keeper.Accept(job.Job{ID: id, Queue: "q", Occurrences: 1, AcceptedAt: now, Steps: []job.Step{step}})
+				keeper.OpenDueOccurrences(j, now)
+				return j
+			}
+			var vms []*dispatcher.VM
+			filler := keeper.Task(job.Task{Job: accept("filler", job.Step{TaskCount: 1, Size: size}).ID})
+			keeper.RunStarted(filler, 1)
+			for n := range 300 {
+				v := &dispatcher.VM{
+					Name: fmt.Sprint("vm", n), Service: "s", Rack: fmt.Sprint("r", n%20), Schedulable: true,
+					Capacity: resource.Amount{MilliProcessors: 32_000, MemoryBytes: 250_000},
+				}
+				if n%20 < 10 {
+					for range 32 {
+						v.Add(filler)
+					}
+				}
+				vms = append(vms, v)
+			}
+			for range 1000 {
+				now = now.Add(5 * time.Millisecond)
+				for n := range 10 {
+					d.Delayer.RunEnded(now, delayer.Rack{Service: "s", Name: fmt.Sprint("r", n)}, size, false)
+				}
+			}
+			for n := range 100 {
+				accept(fmt.Sprint("job", n), job.Step{TaskCount: 20, Size: size, Estimate: time.Second, PreferredRack: fmt.Sprint("r", n%10)})
+			}
+			queues := map[string]dispatcher.Queue{"q": {Service: "s", Stretch: 3, Target: 10 * time.Second}}
+			placed := 0
+			for b.Loop() {
+				var steps []*bookkeeper.Step
+				keeper.VisitReadySteps(func(s *bookkeeper.Step) { steps = append(steps, s) })
+				placements := d.Plan(now, now, steps, queues, vms)
+				placed += len(placements)
+				for _, p := range placements {
+					p.VM.Remove(p.Task)
+				}
+			}
+			b.ReportMetric(float64(placed)/float64(b.N), "placed/op")
+		})
+	}
+}
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/delayer"
 	"bamboohook/resource"
 )
 
@@ -44,6 +45,12 @@
 		// Overdue reports whether a best-effort task starts although it may cause missed targets on the VM, because it has waited too long. It must
 		// get some work done there.
 		Overdue bool
+		// OffRack reports whether the task starts off its preferred rack, or with a gang on several racks that should be on one. OffRackReason says why
+		// it does not wait for the rack. It is empty if Dispatcher.Delayer is nil, and for starving tasks.
+		OffRack       bool
+		OffRackReason string
+		// RackWait is the wait for the rack that ends with this start, or nil. In a gang, only the first task has one.
+		RackWait *RackWait
 	}
 
 	// InterferenceModel estimates how much a best-effort program raises the utilisation of a long-running program on the same VM.
@@ -65,7 +72,12 @@
 		// Forbids reports whether tasks of the step may never start on the VM, so that room there is of no use for them. If it is nil, they may
 		// start on all VMs, perhaps later.
 		Forbids func(s *bookkeeper.Step, v *VM) bool
+		// Delayer decides which tasks wait for places on their preferred racks. If it is nil, none waits.
+		Delayer *delayer.Delayer
 
+		// rackWaits holds the waits for racks that have not ended. rackPlan belongs to the current plan.
+		rackWaits map[*bookkeeper.Task]RackWait
+		rackPlan  rackPlan
 		// vms holds the VMs of the current plan. mostFree holds, by service, the most of each resource that was free on a VM when the plan
 		// began.
 		vms      []*VM
@@ -143,6 +155,7 @@
 	d.vms = vms
 	d.planNumber++
 	d.updateMostFree()
+	d.beginRackPlan(wallTime)
 	d.held, d.heldFor, d.processorsCounted, d.unplaced, d.jobsWithRun = nil, nil, false, map[shape]time.Time{}, map[*bookkeeper.Job]bool{}
 	for _, v := range vms {
 		v.startedStep = nil
@@ -154,28 +167,45 @@
 		placedFirst[p.Task] = true
 	}
 	for _, c := range sorted {
-		service := queues[c.step.Job.Queue].Service
+		queue := queues[c.step.Job.Queue]
 		if c.step.Gang {
 			if !placedFirst[c.step.Tasks[0]] {
-				placements = append(placements, d.placeGang(now, c.step, service, vms)...)
+				placements = append(placements, d.placeGangOrWait(now, c.step, queue, vms)...)
 			}
 			continue
 		}
 		var unplacedWaitingSince time.Time
+		// offRack is the best VM for the last task of the step, which waits for its rack instead and has waited since offRackWaitingSince.
+		var offRack *VM
+		var offRackWaitingSince time.Time
 		for _, t := range c.step.Tasks {
 			// The tasks of a step only differ in how long they have waited. The longer a task has waited, the more VMs are acceptable for it. So
 			// after a task for which there is no VM, only tasks that have waited longer are tried.
 			if placedFirst[t] || !t.IsWaiting() || !unplacedWaitingSince.IsZero() && !t.WaitingSince().Before(unplacedWaitingSince) {
 				continue
 			}
-			v := d.bestVM(now, t, service, vms, "")
+			v := offRack
+			if v == nil || !t.WaitingSince().Equal(offRackWaitingSince) {
+				v = d.bestVM(now, t, queue.Service, vms, "")
+			}
+			offRack = nil
 			if v == nil {
 				unplacedWaitingSince = t.WaitingSince()
 				continue
 			}
-			placements = append(placements, d.place(now, t, v))
+			decision := d.decideOnRack(now, t, queue, v)
+			if decision.Wait {
+				offRack, offRackWaitingSince = v, t.WaitingSince()
+				continue
+			}
+			p := d.place(now, t, v)
+			p.OffRackReason = decision.Reason
+			placements = append(placements, p)
 		}
 	}
+	for _, p := range placements {
+		delete(d.rackWaits, p.Task)
+	}
 	return placements
 }
 
@@ -284,19 +314,30 @@
 			placed = append(placed, d.place(now, t, v))
 		}
 		if len(placed) == len(s.Tasks) {
-			return placed
-		}
-		for _, p := range placed {
-			p.VM.Remove(p.Task)
-			if p.VM.startedStep == s {
-				p.VM.startedStep = nil
+			offRack := slices.ContainsFunc(placed, func(p Placement) bool {
+				return s.SameRack && p.VM.Rack != placed[0].VM.Rack || !s.SameRack && p.OffRack
+			})
+			for n := range placed {
+				placed[n].OffRack = offRack
 			}
-			d.processorsCounted = false
+			return placed
 		}
+		d.undo(placed)
 	}
 	return nil
 }
 
+// undo takes back the placements of tasks in a gang.
+func (d *Dispatcher) undo(placed []Placement) {
+	for _, p := range placed {
+		p.VM.Remove(p.Task)
+		if p.VM.startedStep == p.Task.Step {
+			p.VM.startedStep = nil
+		}
+		d.processorsCounted = false
+	}
+}
+
 // racksOf returns the racks of the VMs in alphabetical order, but with the preferred rack first.
 func racksOf(vms []*VM, preferred string) []string {
 	var racks []string
@@ -383,7 +424,10 @@
 
 // place adds a run of the task to the VM.
 func (d *Dispatcher) place(now time.Time, t *bookkeeper.Task, v *VM) Placement {
-	p := Placement{Task: t, VM: v, PaceShare: 1}
+	p := Placement{Task: t, VM: v, PaceShare: 1, OffRack: t.Step.PreferredRack != "" && v.Rack != t.Step.PreferredRack}
+	if w, ok := d.rackWaits[t]; ok {
+		p.RackWait = &w
+	}
 	if t.Step.BestEffort {
 		p.PaceShare, p.Overdue = d.impactInPlan(t.Step, v).paceShare, d.isOverdue(t, now.Sub(t.WaitingSince()))
 	}
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -81,7 +81,7 @@
 		Leases: coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
 		Limits: coordinator.Limits{
 			Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout, RecordBytes: settings.MaxRecordBytes,
-			RequestBytes: settings.MaxRequestBytes,
+			RequestBytes: settings.MaxRequestBytes, RemoteFactor: settings.RemoteFactor,
 		},
 		MayGrantLeases: e.elector.MayGrantLeases,
 		MayShowStates:  e.elector.MayShowStates,
