Explain where a job would start without submitting it

An operator could only see from the log why the task that has waited longest does not start, and nothing about a job before its submission.

The owner plans it with all waiting steps on copies of the VMs, of the dispatcher and of what the Delayer has learnt, and returns for each step the VMs, the waits for racks, or the reasons with the numbers of VMs. Queries of the interference model use Peek, which does not count as a use.

The tests compare all values of the owner's state before and after, and the answer with what a submission then gets. Further tests cover the waits in the coordinator: a place on the rack, the end of the wait, lost and draining VMs, a new owner, ends of runs on lost VMs.

--- a/internal/batch/antagonist/antagonist.go
+++ b/internal/batch/antagonist/antagonist.go
@@ -58,6 +58,15 @@
 	return estimate.Mean, estimate.Deviation
 }
 
+// Peek returns the same as Interference, but leaves the model unchanged: it does not count as a use of the program.
+func (m *Model) Peek(longRunning, bestEffort string) (mean, deviation float64) {
+	estimate := priorInterference
+	if v, ok := m.longRunningPrograms[longRunning]; ok {
+		estimate = v.peek(bestEffort)
+	}
+	return estimate.Mean, estimate.Deviation
+}
+
 // Utilisation converts the ratio of a task's latency to its target into a utilisation from 0 to 1. The task runs the given long-running
 // program.
 func (m *Model) Utilisation(program string, ratio float64) float64 {
--- a/internal/batch/antagonist/victim.go
+++ b/internal/batch/antagonist/victim.go
@@ -72,9 +72,7 @@
 	if ok {
 		return estimate
 	}
-	if estimate, ok = v.estimates.Estimate(interferencePrefix + program); !ok {
-		estimate = priorInterference
-	}
+	estimate = v.peek(program)
 	if len(v.interferenceCache) >= maxCachedEstimates {
 		clear(v.interferenceCache)
 	}
@@ -82,6 +80,17 @@
 	return estimate
 }
 
+// peek returns the same as interference, but does not store it.
+func (v *longRunningProgram) peek(program string) regressor.Estimate {
+	if estimate, ok := v.interferenceCache[program]; ok {
+		return estimate
+	}
+	if estimate, ok := v.estimates.Estimate(interferencePrefix + program); ok {
+		return estimate
+	}
+	return priorInterference
+}
+
 // ownLoad returns the estimated own load of the group now. It adds a group that is not estimated yet. Otherwise, it first moves the estimate
 // towards the usual own load for the time since the last call.
 func (v *longRunningProgram) ownLoad(group string, now time.Time) float64 {
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -102,13 +103,15 @@
 	name string
 	// generation identifies the agent process, incarnation the endpoint process. reportSequence is the sequence number of the last report, epoch
 	// the highest epoch that the agent knows of, session the number of the agent process in that epoch.
-	generation         string
-	reportSequence     uint64
-	epoch              uint64
-	session            uint64
-	incarnation        int64
-	state              string
-	labels             []string
+	generation     string
+	reportSequence uint64
+	epoch          uint64
+	session        uint64
+	incarnation    int64
+	state          string
+	labels         []string
+	// rack is the rack of the VM, "r" if it is empty.
+	rack               string
 	runs               map[string]messenger.Run
 	results            []messenger.RunResult
 	nextResultSequence int64
@@ -161,6 +164,8 @@
 	beforeResponse func(*agent)
 	// wallOffset is the difference between the time of day and the clock.
 	wallOffset time.Duration
+	// remoteFactor is the limit of that name.
+	remoteFactor float64
 	// If deferCalls is set, simulate makes the coordinator's calls after each plan. deferredCalls holds those that were not made yet.
 	deferCalls    bool
 	deferredCalls []func()
@@ -194,7 +199,7 @@
 	c.coordinator = &coordinator.Coordinator{
 		Agents: c, Journal: c.journal, Clock: c.clock, WallClock: wallClock{c}, Log: zerolog.Nop(), Address: "entry",
 		Leases: coordinator.Leases{Grant: 2 * time.Second, Run: 3 * time.Second, Contact: time.Second, Drift: 500 * time.Millisecond},
-		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second}, MayGrantLeases: func() bool { return c.mayGrantLeases },
+		Limits: coordinator.Limits{Retention: time.Minute, MissTolerance: 4 * time.Second, RemoteFactor: c.remoteFactor}, MayGrantLeases: func() bool { return c.mayGrantLeases },
 		MayShowStates: func() bool { return !c.paused },
 		OwnedAt:       func() time.Time { return c.clock.Now().Add(-c.timeSinceOwned) },
 		Spawn: func(do func()) {
@@ -310,7 +315,7 @@
 	r := messenger.Report{
 		VM: a.name, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, Incarnation: a.incarnation, Listed: !a.runsUnlisted,
 		EndpointID: "i-" + a.name, Service: "s",
-		Rack: "r", Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
+		Rack: cmp.Or(a.rack, "r"), Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
 	}
 	r.UnnamedRuns, r.UnknownRuns = a.unnamed, a.unknownRuns
 	if a.unlistedRun.Task != "" {
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -225,30 +225,12 @@
 // queues that had waiting tasks.
 func (c *Coordinator) placeTasks(now time.Time) []*bookkeeper.Step {
 	s := &c.state
-	var steps, advisedSteps []*bookkeeper.Step
-	queues := map[string]dispatcher.Queue{}
-	s.jobs.VisitReadySteps(func(step *bookkeeper.Step) {
-		if _, restored := s.restoredJobs[step.Job]; restored && !s.runsKnown && !step.NotStartedByEarlierOwners() {
-			return
-		}
-		if !slices.ContainsFunc(step.Tasks, (*bookkeeper.Task).IsWaiting) {
-			return
-		}
-		q := c.queueOf(step.Job)
-		if q.Advised {
-			advisedSteps = append(advisedSteps, step)
-			if !s.inquirer.HasTicket(stepName(step), now) && !c.keepsRoomWithoutTicket(step, now) {
-				return
-			}
-		}
-		queues[step.Job.Queue] = q.Queue
-		steps = append(steps, step)
-	})
+	steps, advisedSteps, queues := c.stepsToPlace(now)
 	if len(steps)+len(advisedSteps) == 0 {
 		return nil
 	}
 	vms, coordinatorVMs := c.dispatcherVMs(now)
-	c.setExclusions(coordinatorVMs, now)
+	c.setExclusions(&s.dispatcher, coordinatorVMs, now)
 	gangNumbers := map[*bookkeeper.Step]int{}
 	for _, p := range s.dispatcher.Plan(now, c.WallClock.Now(), steps, queues, vms) {
 		number := p.Task.NextRunNumber()
@@ -264,14 +246,38 @@
 	return advisedSteps
 }
 
-// setExclusions makes the dispatcher leave out VMs for which a step of an advised queue has no ticket. coordinatorVMs contains all VMs that the dispatcher
-// gets.
-func (c *Coordinator) setExclusions(coordinatorVMs map[*dispatcher.VM]*vm, now time.Time) {
-	c.state.dispatcher.Excludes = func(t *bookkeeper.Task, d *dispatcher.VM) bool {
-		return c.queueOf(t.Step.Job).Advised && c.state.inquirer.Ticket(stepName(t.Step), coordinatorVMs[d].endpoint(), now) == ""
+// stepsToPlace returns the steps with waiting tasks that may start, all steps of advised queues with waiting tasks, and the configuration of the queues
+// of the first ones.
+func (c *Coordinator) stepsToPlace(now time.Time) (steps, advisedSteps []*bookkeeper.Step, queues map[string]dispatcher.Queue) {
+	s := &c.state
+	queues = map[string]dispatcher.Queue{}
+	s.jobs.VisitReadySteps(func(step *bookkeeper.Step) {
+		if _, restored := s.restoredJobs[step.Job]; restored && !s.runsKnown && !step.NotStartedByEarlierOwners() {
+			return
+		}
+		if !slices.ContainsFunc(step.Tasks, (*bookkeeper.Task).IsWaiting) {
+			return
+		}
+		q := c.queueOf(step.Job)
+		if q.Advised {
+			advisedSteps = append(advisedSteps, step)
+			if !s.inquirer.HasTicket(stepName(step), now) && !c.keepsRoomWithoutTicket(step, now) {
+				return
+			}
+		}
+		queues[step.Job.Queue] = q.Queue
+		steps = append(steps, step)
+	})
+	return steps, advisedSteps, queues
+}
+
+// setExclusions makes d leave out VMs for which a step of an advised queue has no ticket. coordinatorVMs contains all VMs that d gets.
+func (c *Coordinator) setExclusions(d *dispatcher.Dispatcher, coordinatorVMs map[*dispatcher.VM]*vm, now time.Time) {
+	d.Excludes = func(t *bookkeeper.Task, v *dispatcher.VM) bool {
+		return c.queueOf(t.Step.Job).Advised && c.state.inquirer.Ticket(stepName(t.Step), coordinatorVMs[v].endpoint(), now) == ""
 	}
-	c.state.dispatcher.Forbids = func(step *bookkeeper.Step, d *dispatcher.VM) bool {
-		return c.queueOf(step.Job).Advised && c.state.inquirer.Denied(stepName(step), coordinatorVMs[d].endpoint(), now)
+	d.Forbids = func(step *bookkeeper.Step, v *dispatcher.VM) bool {
+		return c.queueOf(step.Job).Advised && c.state.inquirer.Denied(stepName(step), coordinatorVMs[v].endpoint(), now)
 	}
 }
 
@@ -281,10 +287,7 @@
 	vms := make([]*dispatcher.VM, 0, len(c.state.vms))
 	coordinatorVMs := make(map[*dispatcher.VM]*vm, len(c.state.vms))
 	for _, v := range c.state.vms {
-		usable := c.usable(v, now)
-		v.Schedulable, v.SchedulableSoon, v.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
-		// The VM may accept starts again, so a starving task tries it again from time to time.
-		v.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
+		c.updateSchedulable(&v.VM, v, now)
 		vms = append(vms, &v.VM)
 		coordinatorVMs[&v.VM] = v
 	}
@@ -292,6 +295,14 @@
 	return vms, coordinatorVMs
 }
 
+// updateSchedulable updates d, which is the VM v or a copy of it, as to whether tasks may start there.
+func (c *Coordinator) updateSchedulable(d *dispatcher.VM, v *vm, now time.Time) {
+	usable := c.usable(v, now)
+	d.Schedulable, d.SchedulableSoon, d.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
+	// The VM may accept starts again, so a starving task tries it again from time to time.
+	d.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
+}
+
 // usable reports whether tasks may start on the VM now if its circuit breaker allows it.
 func (c *Coordinator) usable(v *vm, now time.Time) bool {
 	if !v.recordStored || v.lastReportAt.IsZero() || !v.runsListed || v.reportedState != messenger.VMUp || now.Sub(v.lastReportAt) > maxReportAge || v.listAge > maxListAge ||
--- a/internal/batch/coordinator/summary.go
+++ b/internal/batch/coordinator/summary.go
@@ -63,7 +63,7 @@
 		return
 	}
 	vms, coordinatorVMs := c.dispatcherVMs(now)
-	c.setExclusions(coordinatorVMs, now)
+	c.setExclusions(&c.state.dispatcher, coordinatorVMs, now)
 	q := c.queueOf(longest.Step.Job)
 	c.Log.Info().Str("task", longest.ID().String()).Dur("waited", now.Sub(longest.WaitingSince())).Bool("filling", longest.Step.BestEffort).
 		Int("runs-before", longest.NextRunNumber()-1).Int("vms", len(vms)).Interface("refusals", c.state.dispatcher.Refusals(now, longest, q.Service, vms)).
--- a/internal/batch/delayer/delayer.go
+++ b/internal/batch/delayer/delayer.go
@@ -149,6 +149,25 @@
 	return "queue " + queue + " " + s.Size.String() + " " + s.Estimate.String()
 }
 
+// Clone returns a copy, or nil if d is nil.
+func (d *Delayer) Clone() *Delayer {
+	if d == nil {
+		return nil
+	}
+	clone := *d
+	clone.racks, clone.kinds = map[Rack]*rackState{}, map[string]*kindState{}
+	for rack, s := range d.racks {
+		copied := *s
+		copied.ends, copied.demand = s.ends.clone(), s.demand.clone()
+		clone.racks[rack] = &copied
+	}
+	for kind, k := range d.kinds {
+		copied := *k
+		clone.kinds[kind] = &copied
+	}
+	return &clone
+}
+
 // RunEnded records that a run of the size has ended on a VM of the rack where tasks may start.
 func (d *Delayer) RunEnded(now time.Time, rack Rack, size resource.Amount, bestEffort bool) {
 	if !d.enabled() {
@@ -323,6 +342,16 @@
 	e.at = now
 }
 
+// clone returns a copy.
+func (f flow) clone() flow {
+	copied := flow{}
+	for class, e := range f {
+		sum := *e
+		copied[class] = &sum
+	}
+	return copied
+}
+
 // count returns the decayed number of tasks that make or take room for the requested one, and how many tasks like the requested one they make up.
 func (f flow) count(now time.Time, r Request) (tasks, places float64) {
 	for class, e := range f {
--- a/internal/batch/dispatcher/rack.go
+++ b/internal/batch/dispatcher/rack.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -49,6 +50,13 @@
 // BegunRackWaits returns the waits for racks that began in the last plan.
 func (d *Dispatcher) BegunRackWaits() []RackWait { return d.rackPlan.begun }
 
+// Clone returns a copy whose plans leave the original unchanged, if they use copies of the VMs. Both share Model, Excludes and Forbids.
+func (d *Dispatcher) Clone() *Dispatcher {
+	clone := *d
+	clone.rackWaits, clone.Delayer = maps.Clone(d.rackWaits), d.Delayer.Clone()
+	return &clone
+}
+
 // beginRackPlan prepares the decisions of a plan and forgets the waits of tasks that no longer wait for their start.
 func (d *Dispatcher) beginRackPlan(wallTime time.Time) {
 	d.rackPlan = rackPlan{wallTime: wallTime, ahead: map[delayer.Rack]int{}, steps: map[*bookkeeper.Step]rackStep{}}
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -85,6 +86,15 @@
 	v.processorsUnusedByThrottled = processors
 }
 
+// Clone returns a copy of the VM, to which runs can be added without a change of the original.
+func (v *VM) Clone() *VM {
+	clone := *v
+	clone.runsByStep, clone.victimsByProgram = maps.Clone(v.runsByStep), maps.Clone(v.victimsByProgram)
+	clone.bestEffortProcessorsByProgram = maps.Clone(v.bestEffortProcessorsByProgram)
+	clone.forgetPredictions()
+	return &clone
+}
+
 // Add adds a run of the task to the VM.
 func (v *VM) Add(t *bookkeeper.Task) { v.addRuns(t, 1) }
 
--- a/internal/cli/odd_internal_test.go
+++ b/internal/cli/odd_internal_test.go
@@ -111,7 +111,7 @@
 	}
 	for method, message := range map[string]any{
 		messenger.MethodReport: report, messenger.MethodPing: ping, messenger.MethodSubmit: request, messenger.MethodState: request, messenger.MethodCancel: request,
-		messenger.MethodCount: request, messenger.MethodConfiguration: struct{}{}, "unknown": request,
+		messenger.MethodCount: request, messenger.MethodExplain: request, messenger.MethodConfiguration: struct{}{}, "unknown": request,
 	} {
 		_ = call(messenger.MethodReport, report)
 		_ = call(method, message)
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -69,6 +69,8 @@
 		Agent platformAgentCommand `cmd:"" help:"Run an agent on the platform, beside an endpoint."`
 		Check platformCheckCommand `cmd:"" help:"Check a settings file of the platform and print what is used of it."`
 		Story jobLogCommand        `cmd:"" help:"Print what the logs of several processes tell of one job."`
+
+		Explain platformExplainCommand `cmd:"" help:"Show where a job would start now and why, without submitting it."`
 	}
 
 	platformEntryCommand struct {
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -223,7 +223,7 @@
 	s.Handle(messenger.MethodConfiguration, func(context.Context, json.RawMessage) (any, error) {
 		return e.subscriber.Configuration(), nil
 	})
-	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount} {
+	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount, messenger.MethodExplain} {
 		s.Handle(method, func(_ context.Context, params json.RawMessage) (any, error) {
 			var request messenger.JobRequest
 			if err := json.Unmarshal(params, &request); err != nil {
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -17,6 +17,7 @@
 	MethodState         = "state"
 	MethodCancel        = "cancel"
 	MethodCount         = "count"
+	MethodExplain       = "explain"
 	MethodConfiguration = "configuration"
 )
 
@@ -314,6 +315,62 @@
 		// MayHaveEffect reports, with OutcomeNotOwner, that the request may have been executed or may still be: the sender of the
 		// response was the owner when it received the request, or has passed the request on without a response.
 		MayHaveEffect bool `json:"may-have-effect,omitempty"`
+		// Explanation is the response to MethodExplain.
+		Explanation *Explanation `json:"explanation,omitempty"`
+	}
+
+	// Explanation tells where the tasks of a job would start now. Nothing of the job is accepted.
+	Explanation struct {
+		Queue   string `json:"queue"`
+		Service string `json:"service"`
+		// Epoch is that of the owner, Version that of its configuration.
+		Epoch   uint64 `json:"epoch"`
+		Version int64  `json:"version"`
+		// VMs is the number of the service's VMs, UsableVMs that of those on which tasks may start now.
+		VMs       int           `json:"vms"`
+		UsableVMs int           `json:"usable-vms"`
+		Steps     []StepOutlook `json:"steps"`
+		// OmittedPlaces is the number of places and waits that are left out because there are too many.
+		OmittedPlaces int `json:"omitted-places,omitempty"`
+	}
+
+	// StepOutlook tells where the tasks of one step would start now.
+	StepOutlook struct {
+		Step  int `json:"step"`
+		Tasks int `json:"tasks"`
+		// After holds the steps that must be done before. If there are any, no task of the step would start now.
+		After  []int         `json:"after,omitempty"`
+		Places []Place       `json:"places,omitempty"`
+		Waits  []RackOutlook `json:"waits,omitempty"`
+		// NotStarted is the number of tasks that would start nowhere now. Refusals holds the numbers of VMs by the reasons why one of these must not
+		// start there.
+		NotStarted int            `json:"not-started,omitempty"`
+		Refusals   map[string]int `json:"refusals,omitempty"`
+	}
+
+	// Place is a VM on which tasks of a step would start.
+	Place struct {
+		VM    string `json:"vm"`
+		Rack  string `json:"rack,omitempty"`
+		Tasks int    `json:"tasks"`
+		// ReportAgeMS is the age of the last report of the VM, in milliseconds.
+		ReportAgeMS int64 `json:"report-age-ms"`
+		// OffRack reports whether the VM is off the preferred rack, OffRackReason why the task does not wait for that one.
+		OffRack       bool   `json:"off-rack,omitempty"`
+		OffRackReason string `json:"off-rack-reason,omitempty"`
+		// PaceShare is the share of the full pace at which the task could work.
+		PaceShare float64 `json:"pace-share"`
+	}
+
+	// RackOutlook is the wait of a task, or of a whole gang, for its preferred rack. Others have precedence for Ahead places there. The times are in
+	// milliseconds.
+	RackOutlook struct {
+		Rack       string `json:"rack"`
+		Tasks      int    `json:"tasks"`
+		Ahead      int    `json:"ahead"`
+		ExpectedMS int64  `json:"expected-ms"`
+		LimitMS    int64  `json:"limit-ms"`
+		SavedMS    int64  `json:"saved-ms"`
 	}
 )
 
--- a/internal/fleet/receptionist/receptionist.go
+++ b/internal/fleet/receptionist/receptionist.go
@@ -35,6 +35,7 @@
 		JobState(ctx context.Context, request messenger.JobRequest) messenger.JobResponse
 		Cancel(ctx context.Context, request messenger.JobRequest) messenger.JobResponse
 		CountQueuedJobs(ctx context.Context, request messenger.JobRequest) messenger.JobResponse
+		Explain(ctx context.Context, request messenger.JobRequest) messenger.JobResponse
 	}
 
 	// PeerClient is a client of the other entries.
@@ -187,6 +188,8 @@
 		return r.LocalOwner.Cancel(ctx, request)
 	case messenger.MethodCount:
 		return r.LocalOwner.CountQueuedJobs(ctx, request)
+	case messenger.MethodExplain:
+		return r.LocalOwner.Explain(ctx, request)
 	}
 	return messenger.JobResponse{Outcome: messenger.OutcomeInvalid, Reason: "unknown method " + method}
 }
--- a/internal/fleet/receptionist/receptionist_test.go
+++ b/internal/fleet/receptionist/receptionist_test.go
@@ -77,6 +77,10 @@
 	return o.respond()
 }
 
+func (o *fakeOwner) Explain(context.Context, messenger.JobRequest) messenger.JobResponse {
+	return o.respond()
+}
+
 func (o *fakeOwner) CountQueuedJobs(context.Context, messenger.JobRequest) messenger.JobResponse {
 	return o.respond()
 }
