--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -186,8 +186,9 @@
 		ticketText string
 		// needed reports whether the result of the run still matters to its task.
 		needed bool
-		// confirmed reports whether the run certainly exists or has existed.
-		confirmed bool
+		// confirmed reports whether the run certainly exists or has existed, since confirmedAt.
+		confirmed   bool
+		confirmedAt time.Time
 		// If expectedInReports is set, a complete report with the sequence number visibleFrom or a higher one lists the run unless it has
 		// ended. Otherwise, the run may be missing in a report although its start may still reach the endpoint.
 		expectedInReports bool
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -359,7 +359,7 @@
 	if !x.needed || x.confirmed {
 		return
 	}
-	x.confirmed = true
+	x.confirmed, x.confirmedAt = true, c.Clock.Now()
 	j := x.task.Step.Job
 	if !j.HasStarted() && j.FirstDue.IsZero() {
 		c.Meter.Observe("first-start", c.WallClock.Now().Sub(j.AcceptedAt))
--- a/internal/batch/coordinator/rack.go
+++ b/internal/batch/coordinator/rack.go
@@ -22,7 +22,8 @@
 	if result.Outcome != messenger.RunDone || s.LongRunning || x.startsSent == 0 || x.task.Checkpoint() != "" {
 		return
 	}
-	took := now.Sub(x.knownSince)
+	// The time until the start is confirmed is the same on all racks.
+	took := now.Sub(x.confirmedAt)
 	if x.isBestEffort() {
 		x.updateLostTime(now)
 		// lostTime contains the wait before the run.
--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -67,6 +67,8 @@
 	EntryProcessors float64
 	// ConfigTime is the time after its acknowledgement from which on a configuration must be in use. 0 means 2 s.
 	ConfigTime time.Duration
+	// RemoteFactor is the factor by which tasks take longer off their preferred rack, as far as the settings tell. 0 means that they do not tell it.
+	RemoteFactor float64
 	// Grace is the time that the platform leaves a process between SIGTERM and SIGKILL.
 	Grace time.Duration
 
@@ -158,6 +160,9 @@
 // EntryStoreIP returns the IP address at which an entry calls the store. No other process calls it there.
 func (i *Installation) EntryStoreIP(n int) string { return i.ip(3, n+1) }
 
+// EntryPeerAddress returns the address at which the entry accepts calls of other processes.
+func (i *Installation) EntryPeerAddress(n int) string { return address(i.ip(1, n+1), portInternal) }
+
 // Process returns the process that was last started under the name, or nil if there is none.
 func (i *Installation) Process(name string) *launcher.Process { return i.launcher.Process(name) }
 
@@ -348,6 +353,9 @@
 	}
 	fmt.Fprintf(&b, "ControlPlane = %q\n[Limits]\nCpuQuota = %g\nMemoryMb = 256\nLinkMbps = %g\n", address(ip, portControl), processors, mbps)
 	fmt.Fprintf(&b, "[Bounds]\nGraceS = %g\nMaxHoldMs = 6000\nstatus_s = 120\nHarmMs = 4000\nConfigMs = %d\n", i.Grace.Seconds(), cmp.Or(i.ConfigTime, defaultConfigTime).Milliseconds())
+	if i.RemoteFactor > 0 {
+		fmt.Fprintf(&b, "RemoteFactor = %g\n", i.RemoteFactor)
+	}
 	storeIP := i.ip(0, 1)
 	if role == "entry" {
 		storeIP = i.EntryStoreIP(n)
