--- a/internal/batch/coordinator/rack_test.go
+++ b/internal/batch/coordinator/rack_test.go
@@ -31,16 +31,14 @@
 		name := fmt.Sprint("vm-", n)
 		c.agents[name] = &agent{
 			name: name, rack: fmt.Sprint("r", n/2), generation: "g", incarnation: 100, state: messenger.VMUp, runs: map[string]messenger.Run{},
-			nextResultSequence: 1, paces: map[string]int{},
+			nextResultSequence: 1, paces: map[string]int{}, labels: []string{fmt.Sprint("on-r", n/2)},
 		}
 	}
 	c.takeOver()
 	c.simulate(time.Second)
-	for range 8 {
-		c.submitFiller()
-	}
+	c.submitFillers(38)
 	for range 30 {
-		c.replaceFiller()
+		c.endFiller()
 	}
 	return c
 }
@@ -51,14 +49,16 @@
 	c.coordinator.Log, c.coordinator.Meter = zerolog.New(c.log), c.counted
 }
 
-// submitFiller submits a job that takes a fourth of the rack "r1".
-func (c *rackCluster) submitFiller() {
+// submitFillers submits a job with tasks that only run on "r1", which has room for eight of them.
+func (c *rackCluster) submitFillers(tasks int) {
 	c.fillers++
-	submitJob(c.testCluster, job.Job{ID: fmt.Sprint("filler", c.fillers), Occurrences: 1, Steps: []job.Step{rackStep(1, 200*time.Millisecond)}})
+	step := rackStep(tasks, 200*time.Millisecond)
+	step.Label = "on-r1"
+	submitJob(c.testCluster, job.Job{ID: fmt.Sprint("filler", c.fillers), Occurrences: 1, Steps: []job.Step{step}})
 	c.simulate(100 * time.Millisecond)
 }
 
-// endFiller ends the run of a filler on "r1".
+// endFiller ends the run of a filler on "r1". The next one starts if there is one.
 func (c *rackCluster) endFiller() {
 	for _, a := range []*agent{c.agents["vm-2"], c.agents["vm-3"]} {
 		for task := range a.runs {
@@ -69,10 +69,12 @@
 	}
 }
 
-// replaceFiller ends a run on "r1" and starts another one there.
-func (c *rackCluster) replaceFiller() {
-	c.endFiller()
-	c.submitFiller()
+// replaceFillers ends runs on "r1", one after the other, each of which is replaced by another one.
+func (c *rackCluster) replaceFillers(runs int) {
+	c.submitFillers(runs)
+	for range runs {
+		c.endFiller()
+	}
 }
 
 func rackStep(tasks int, estimate time.Duration) job.Step {
@@ -161,9 +163,7 @@
 		submitLocal()
 		Expect(c.agentWith("j.0.0.0").rack).To(Equal("r0"))
 		Expect(c.lineWith("run placed on a VM", "j.0.0.0")).To(ContainSubstring(`"rack-reason":"rate-unknown"`))
-		for range 5 {
-			c.replaceFiller()
-		}
+		c.replaceFillers(5)
 		submitJob(c.testCluster, job.Job{ID: "k", Occurrences: 1, Steps: []job.Step{rackStep(1, 5*time.Second)}})
 		c.simulate(100 * time.Millisecond)
 		Expect(c.countRuns()["k.0.0.0"]).To(BeZero())
@@ -182,9 +182,7 @@
 		}
 		c.finishAllRuns(messenger.RunDone)
 		c.simulate(400 * time.Millisecond)
-		for range 8 {
-			c.submitFiller()
-		}
+		c.submitFillers(8)
 		submitLocal()
 		Expect(c.lineWith("run placed on a VM", "j.0.0.0")).NotTo(BeEmpty())
 	})
@@ -193,9 +191,7 @@
 		c.remoteFactor = 0
 		c.takeOver()
 		c.simulate(time.Second)
-		for range 10 {
-			c.replaceFiller()
-		}
+		c.replaceFillers(10)
 		submitLocal()
 		Expect(c.agentWith("j.0.0.0").rack).To(Equal("r0"))
 		Expect(c.count("rack-waits")).To(Equal("0"))
