--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"bamboohook/internal/batch/appraiser"
 	"bamboohook/internal/batch/assessor"
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/delayer"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/inquirer"
 	"bamboohook/internal/fleet/evacuation"
@@ -161,6 +162,10 @@
 	s.announcementBudget, s.announcementBudgetAt = maxAnnouncementBurst, now
 	s.inquirer = inquirer.Inquirer{}
 	s.dispatcher = dispatcher.Dispatcher{}
+	if c.Limits.RemoteFactor > 1 {
+		// What an earlier owner has learnt is lost. Until enough runs have ended, no task waits for its rack.
+		s.dispatcher.Delayer = &delayer.Delayer{RemoteFactor: c.Limits.RemoteFactor}
+	}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
 	s.assessor, s.appraiser, s.shortageCheckedAt = assessor.Assessor{}, appraiser.Appraiser{}, now
 	c.restoreTombstones(records)
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -86,7 +86,7 @@
 		Leases: coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
 		Limits: coordinator.Limits{
 			Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout, RecordBytes: settings.MaxRecordBytes,
-			RequestBytes: settings.MaxRequestBytes,
+			RequestBytes: settings.MaxRequestBytes, RemoteFactor: settings.RemoteFactor,
 		},
 		MayGrantLeases: e.elector.MayGrantLeases,
 		MayShowStates:  e.elector.MayShowStates,
@@ -241,7 +241,7 @@
 		evacuations, age := e.subscriber.Evacuations()
 		return messenger.Configuration{Configuration: e.subscriber.Configuration(), Evacuations: evacuations, EvacuationAge: max(age, 1)}, nil
 	})
-	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount} {
+	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount, messenger.MethodExplain} {
 		s.Handle(method, func(_ context.Context, params json.RawMessage) (any, error) {
 			var request messenger.JobRequest
 			if err := json.Unmarshal(params, &request); err != nil {
--- a/internal/fleet/elector/takeover_test.go
+++ b/internal/fleet/elector/takeover_test.go
@@ -59,6 +59,10 @@
 	return d.Submit(ctx, r)
 }
 
+func (d *simDesk) Explain(ctx context.Context, r messenger.JobRequest) messenger.JobResponse {
+	return d.Submit(ctx, r)
+}
+
 func (d *simDesk) SendJobRequest(ctx context.Context, entry, method string, r messenger.JobRequest) (messenger.JobResponse, bool, error) {
 	c := d.node.cluster
 	c.mutex.Lock()
