Test entries and agents against clients that ignore the limits

Clients outside of our control made processes run out of memory. No test sent such clients to the processes of the system.

tests/clients starts one entry and one agent with MemoryMb = 128 and sends a crowd to one port: unfinished bodies, whole, in pieces and in chunks, unfinished headers of four kinds, unread responses, idle connections and unfinished frames. Peak resident memory must stay below MemoryMb and descriptors below MaxFds less 200, and an ordinary request and a job must be served.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -137,6 +137,9 @@
 	return "running"
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process still runs.
 func (p *Process) Running() bool { return !p.Wait(0) }
 
--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -47,9 +47,26 @@
 	readyTimeout      = 10 * time.Second
 	readyPollInterval = 20 * time.Millisecond
 	defaultConfigTime = 2 * time.Second
+	// Defaults of the fields of Installation.
+	defaultMemoryMB     = 256
+	defaultMaxBodyBytes = 65536
 )
 
-var memorySetting = regexp.MustCompile(`MemoryMb = \d+`)
+// Ports of the processes. Entries listen at PortCallers, PortReadiness, PortPeers and PortMetrics, agents at PortHeartbeats, PortPeers and
+// PortMetrics.
+const (
+	PortCallers    = portFrontend
+	PortReadiness  = portReadiness
+	PortHeartbeats = portControl
+	PortPeers      = portInternal
+	PortMetrics    = portInternal + 1
+)
+
+var (
+	memorySetting = regexp.MustCompile(`MemoryMb = \d+`)
+	// roleGroups are the groups of IP addresses by role.
+	roleGroups = map[string]int{"entry": 1, "agent": 2}
+)
 
 // Installation is a set of entries and VMs on a fake platform. Set the other exported fields before Start, which sets Store and
 // Instances.
@@ -69,6 +86,11 @@
 	ConfigTime time.Duration
 	// Grace is the time that the platform leaves a process between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// MemoryMB and MaxDescriptors are the limits of each process according to its settings. 0 means 256 MB, and no limit for descriptors.
+	MemoryMB       int
+	MaxDescriptors int
+	// MaxBodyBytes is the largest body of a submission according to the configuration. 0 means 65,536.
+	MaxBodyBytes int
 
 	Store     *metastore.Metastore
 	Instances []*instance.Instance
@@ -182,7 +204,7 @@
 		"Version":  version,
 		"Routes":   routes,
 		"Services": []map[string]any{{"Name": service}},
-		"Limits":   map[string]any{"MaxBodyBytes": 65536},
+		"Limits":   map[string]any{"MaxBodyBytes": cmp.Or(i.MaxBodyBytes, defaultMaxBodyBytes)},
 	})
 }
 
@@ -296,6 +318,16 @@
 	return job.State, status
 }
 
+// Address returns the address of a port of the entry or agent with the process name.
+func (i *Installation) Address(name string, port int) (string, error) {
+	role, number, _ := strings.Cut(name, "-")
+	var n int
+	if _, err := fmt.Sscan(number, &n); err != nil {
+		return "", eris.Wrapf(err, "estate: invalid process name %s", name)
+	}
+	return address(i.ip(roleGroups[role], n+1), port), nil
+}
+
 // JobsOwner returns the index of the entry that owns the jobs according to the store, or -1 if no entry does.
 func (i *Installation) JobsOwner() int {
 	value, ok := i.Store.Newest("keyed.jobs", "owner")
@@ -327,8 +359,7 @@
 // settings returns the content of the settings file of a process.
 func (i *Installation) settings(role string, n int) string {
 	var b strings.Builder
-	group := map[string]int{"entry": 1, "agent": 2}[role]
-	ip := i.ip(group, n+1)
+	ip := i.ip(roleGroups[role], n+1)
 	seeds := make([]string, min(i.Entries, 3))
 	for s := range seeds {
 		seeds[s] = fmt.Sprintf("%q", address(i.ip(1, s+1), portControl))
@@ -346,7 +377,11 @@
 	if role == "entry" {
 		mbps, processors = cmp.Or(i.EntryMbps, mbps), cmp.Or(i.EntryProcessors, processors)
 	}
-	fmt.Fprintf(&b, "ControlPlane = %q\n[Limits]\nCpuQuota = %g\nMemoryMb = 256\nLinkMbps = %g\n", address(ip, portControl), processors, mbps)
+	fmt.Fprintf(&b, "ControlPlane = %q\n[Limits]\nCpuQuota = %g\nMemoryMb = %d\nLinkMbps = %g\n", address(ip, portControl), processors,
+		cmp.Or(i.MemoryMB, defaultMemoryMB), mbps)
+	if i.MaxDescriptors > 0 {
+		fmt.Fprintf(&b, "MaxFds = %d\n", i.MaxDescriptors)
+	}
 	fmt.Fprintf(&b, "[Bounds]\nGraceS = %g\nMaxHoldMs = 6000\nstatus_s = 120\nHarmMs = 4000\nConfigMs = %d\n", i.Grace.Seconds(), cmp.Or(i.ConfigTime, defaultConfigTime).Milliseconds())
 	storeIP := i.ip(0, 1)
 	if role == "entry" {
--- a/test.sh
+++ b/test.sh
@@ -8,7 +8,7 @@
 export GOFLAGS="${GOFLAGS:--buildvcs=false}"
 # shellcheck disable=SC2086 # PACKAGES holds several words.
 packages=$(go list ${PACKAGES:-./...})
-others=$(echo "$packages" | grep -vx -e bamboohook/internal/owner -e bamboohook/tests/batch -e bamboohook/tests/requests -e bamboohook/tests/soak || true)
+others=$(echo "$packages" | grep -vx -e bamboohook/internal/owner -e bamboohook/tests/batch -e bamboohook/tests/clients -e bamboohook/tests/requests -e bamboohook/tests/soak || true)
 failed=0
 # On arm64, the race detector itself crashes now and then in the simulations of internal/fleet/elector (SIGSEGV in __tsan::SlotLock, called from a
 # timer in a bubble of testing/synctest). There, and only there, these simulations run without it.
