Limit the memory and the connections of clients by the settings of the process

Clients outside of our control sent many large or endless requests, and nothing limited what a process held for them: 678 MB in an entry with MemoryMb = 128, and 620 descriptors where 400 were permitted.

internal/fleet/limiter limits connections, headers and messages of a listener. internal/cli/budget.go splits MemoryMb and MaxFds, which was not read before, into shares for callers, readiness, peers, heartbeats and metrics. A client that has stalled gives way to one that needs its place, otherwise the new one is refused. Bodies are read after memory was reserved, or refused with 503 and Retry-After, and must arrive in the time of the request (1 to 10 s). Frames between processes get memory as they arrive. The metrics are no longer written with the lock of the counters held, so a slow reader cannot block the process.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"bamboohook/internal/fleet/limiter"
 	"bamboohook/internal/peer"
 	"bamboohook/platform"
 )
@@ -155,12 +156,13 @@
 	}}
 }
 
-// serveHTTP serves HTTP requests on the listener until ctx is done. It then closes the listener and waits at most
+// serveHTTP serves HTTP requests on the listener, within the limits, until ctx is done. It then closes the listener and waits at most
 // shutdownTimeout for the requests in progress.
-func serveHTTP(ctx context.Context, h http.Handler, l net.Listener, shutdownTimeout time.Duration) error {
+func serveHTTP(ctx context.Context, h http.Handler, l net.Listener, limits *limiter.Limiter, shutdownTimeout time.Duration) error {
 	server := platform.NewServer(h)
+	limits.ConfigureServer(server, platform.BodyTimeout)
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(l) }()
+	go func() { serveErr <- server.Serve(limits.Listen(l)) }()
 	select {
 	case err := <-serveErr:
 		return eris.Wrap(err, "cli: HTTP server failed")
--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -62,12 +62,16 @@
 		defer cancel()
 		return a.HandleOrders(callCtx, o), nil
 	})
-	heartbeatServer := platform.HeartbeatServer{HeartbeatHandler: a, Log: logger}
+	limits := &budget{settings, logger, m}
+	heartbeatLimits, peerLimits, metricsLimits := limits.limiter("heartbeats", heartbeatShare), limits.limiter("peers", agentPeerShare), limits.limiter("metrics", metricsShare)
+	heartbeatServer := platform.HeartbeatServer{HeartbeatHandler: a, Memory: heartbeatLimits, Log: logger}
 	group, ctx := errgroup.WithContext(s.ctx)
 	group.Go(func() error { return a.Run(ctx) })
-	group.Go(func() error { return orderServer.Run(ctx, listeners[1]) })
-	group.Go(func() error { return serveHTTP(ctx, heartbeatServer.Handler(), listeners[0], shutdownMargin) })
-	group.Go(func() error { return serveHTTP(ctx, m, listeners[2], shutdownMargin) })
+	group.Go(func() error { return orderServer.Run(ctx, peerLimits.Listen(listeners[1])) })
+	group.Go(func() error {
+		return serveHTTP(ctx, heartbeatServer.Handler(), listeners[0], heartbeatLimits, shutdownMargin)
+	})
+	group.Go(func() error { return serveHTTP(ctx, m, listeners[2], metricsLimits, shutdownMargin) })
 	err = group.Wait()
 	logger.Info().Err(err).Msg("stopped")
 	return err
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -114,7 +114,11 @@
 			return false
 		}
 	}
+	limits := &budget{e.settings, e.logger, e.meter}
+	callerLimits, peerLimits := limits.limiter("callers", callerShare), limits.limiter("peers", entryPeerShare)
+	readinessLimits, metricsLimits := limits.limiter("readiness", readinessShare), limits.limiter("metrics", metricsShare)
 	callerServer := platform.CallerServer{
+		Memory:         callerLimits,
 		RequestHandler: e.receptionist, Configuration: e.subscriber.Configuration, Refresh: e.subscriber.Refresh, Log: e.logger, Closing: isDraining,
 		Ready: func() bool {
 			owner, _ := e.elector.Owner()
@@ -132,12 +136,14 @@
 	group.Go(func() error { return e.subscriber.Run(workCtx) })
 	group.Go(func() error { return e.committer.Run(workCtx) })
 	group.Go(func() error { return e.coordinator.Run(workCtx) })
-	group.Go(func() error { return e.peerServer().Run(workCtx, listeners[2]) })
-	group.Go(func() error { return serveHTTP(workCtx, callerServer.ReadyHandler(), listeners[1], shutdownMargin) })
-	group.Go(func() error { return serveHTTP(workCtx, e.meter, listeners[3], shutdownMargin) })
+	group.Go(func() error { return e.peerServer().Run(workCtx, peerLimits.Listen(listeners[2])) })
+	group.Go(func() error {
+		return serveHTTP(workCtx, callerServer.ReadyHandler(), listeners[1], readinessLimits, shutdownMargin)
+	})
+	group.Go(func() error { return serveHTTP(workCtx, e.meter, listeners[3], metricsLimits, shutdownMargin) })
 	serveErr := make(chan error, 1)
 	go func() {
-		serveErr <- serveHTTP(servingCtx, callerServer.Handler(), listeners[0], e.settings.Grace-notReadyDuration-shutdownMargin-leaveTimeout)
+		serveErr <- serveHTTP(servingCtx, callerServer.Handler(), listeners[0], callerLimits, e.settings.Grace-notReadyDuration-shutdownMargin-leaveTimeout)
 	}()
 	select {
 	case <-workCtx.Done():
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -17,6 +17,9 @@
 	prefixBytes       = 4
 	headerPrefixBytes = 2
 	maxHeaderBytes    = 1<<16 - 1
+	// firstReadBytes is the memory that a frame gets at once. A longer frame gets readGrowth times as much when that is full.
+	firstReadBytes = 64 << 10
+	readGrowth     = 4
 )
 
 var (
@@ -35,6 +38,9 @@
 	// OnInvalidFrame is called for each received frame that is too large or malformed, with the error that ReadFrame
 	// returns. It may be nil.
 	OnInvalidFrame func(error)
+	// Reserve is called by ReadFrame before it allocates memory for a received frame, with the additional number of bytes. If it returns an error, ReadFrame
+	// returns that error, and the stream must be closed. It may be nil.
+	Reserve func(bytes int) error
 }
 
 // WriteFrame writes the header and the body as one frame. If the frame exceeds the size limit, it returns ErrTooLarge and writes nothing.
@@ -66,11 +72,8 @@
 	if int64(size) > int64(c.maxFrameBytes()) {
 		return nil, c.reportInvalidFrame(ErrTooLarge)
 	}
-	frame := make([]byte, size)
-	if _, err := io.ReadFull(r, frame); err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
+	frame, err := c.readContent(r, int(size))
+	if err != nil {
 		return nil, err
 	}
 	if len(frame) < headerPrefixBytes {
@@ -87,6 +90,29 @@
 	return rest[headerBytes:], nil
 }
 
+// readContent reads the frame after the length. A long frame gets memory as it arrives, because a client may announce it without sending it.
+func (c Codec) readContent(r io.Reader, size int) ([]byte, error) {
+	var frame []byte
+	for capacity := min(size, firstReadBytes); ; capacity = min(size, capacity*readGrowth) {
+		if c.Reserve != nil {
+			if err := c.Reserve(capacity - len(frame)); err != nil {
+				return nil, err
+			}
+		}
+		longer := make([]byte, capacity)
+		begin := copy(longer, frame)
+		if _, err := io.ReadFull(r, longer[begin:]); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		if frame = longer; capacity == size {
+			return frame, nil
+		}
+	}
+}
+
 func (c Codec) maxFrameBytes() int {
 	if c.MaxFrameBytes > 0 {
 		return c.MaxFrameBytes
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
 	"strings"
 	"testing"
 
@@ -46,6 +47,35 @@
 		})
 	}
 
+	// Guards against memory for a long frame that a client announces without sending it.
+	It("allocates the memory of a long frame as it arrives", func() {
+		var out bytes.Buffer
+		content := bytes.Repeat([]byte("c"), 1<<20)
+		Expect(codec.Codec{}.WriteFrame(&out, map[string]any{}, content)).To(Succeed())
+		reserved, limit := 0, math.MaxInt
+		frameCodec := codec.Codec{Reserve: func(bytes int) error {
+			if reserved += bytes; reserved > limit {
+				return io.ErrNoProgress
+			}
+			return nil
+		}}
+		var v map[string]any
+		begin := out.Bytes()[:100_000]
+		_, err := frameCodec.ReadFrame(bufio.NewReader(bytes.NewReader(begin)), &v)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(reserved).To(BeNumerically("<=", 256<<10))
+
+		reserved = 0
+		body, err := frameCodec.ReadFrame(bufio.NewReader(bytes.NewReader(out.Bytes())), &v)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(body, content)).To(BeTrue())
+		Expect(reserved).To(BeNumerically("~", len(content), 100))
+
+		reserved, limit = 0, 200_000
+		_, err = frameCodec.ReadFrame(bufio.NewReader(bytes.NewReader(out.Bytes())), &v)
+		Expect(err).To(MatchError(io.ErrNoProgress))
+	})
+
 	It("writes nothing if the body exceeds the limit", func() {
 		var out bytes.Buffer
 		Expect(codec.Codec{MaxFrameBytes: 8}.WriteFrame(&out, "too long", nil)).To(MatchError(codec.ErrTooLarge))
--- /dev/null
+++ b/internal/fleet/limiter/connection.go
@@ -0,0 +1,121 @@
+package limiter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// errNoMemory ends a connection whose headers find no memory.
+var errNoMemory = eris.New("limiter: no memory for the headers of the request")
+
+type (
+	// connection is a connection that counts against the limits of a listener.
+	connection struct {
+		net.Conn
+		limiter *Limiter
+		// held is what the connection holds of each part. The mutex of the limiter protects it.
+		held [partCount]int64
+		// progressAt is when data was last transferred, in Unix nanoseconds of the clock.
+		progressAt atomic.Int64
+		// calls is the number of requests or calls that the process handles. While there is one, the process does not wait for the client, unless it
+		// is writing.
+		calls   atomic.Int32
+		writing atomic.Int32
+		// inExchange reports that the headers of an HTTP request have been read and the response has not been sent.
+		inExchange atomic.Bool
+	}
+
+	connectionKey struct{}
+)
+
+// withConnection returns a context that contains the connection.
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// connectionOf returns the connection of a request, or nil if it is not limited.
+func connectionOf(ctx context.Context) *connection {
+	c, _ := ctx.Value(connectionKey{}).(*connection)
+	return c
+}
+
+// Read reads data and counts it as headers, unless it belongs to a body or the connection does not count headers.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.recordProgress()
+	if l := c.limiter; l.MaxHeaderBytes > 0 && !c.inExchange.Load() && !l.reserve(c, headers, int64(n)*l.HeaderFactor) {
+		return 0, errNoMemory
+	}
+	return n, err
+}
+
+// Write writes data within the time-out.
+func (c *connection) Write(b []byte) (int, error) {
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	if c.limiter.WriteTimeout > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.limiter.WriteTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	c.recordProgress()
+	n, err := c.Conn.Write(b)
+	c.recordProgress()
+	return n, err
+}
+
+// Close closes the connection and releases everything that it holds.
+func (c *connection) Close() error {
+	c.limiter.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the data from the process, if the connection can do so. The HTTP server uses it so that the client receives the response before the
+// connection is reset.
+func (c *connection) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Reserve reserves bytes for a message and reports whether they are available.
+func (c *connection) Reserve(bytes int64) bool { return c.limiter.reserve(c, messages, bytes) }
+
+// Release releases bytes of messages.
+func (c *connection) Release(bytes int64) { c.limiter.release(c, messages, bytes) }
+
+// BeginCall records that the process handles a request of the client and does not wait for it.
+func (c *connection) BeginCall() { c.calls.Add(1) }
+
+// EndCall ends what BeginCall has begun.
+func (c *connection) EndCall() {
+	c.recordProgress()
+	c.calls.Add(-1)
+}
+
+// beginExchange records that the headers of a request have been read, which take the given memory.
+func (c *connection) beginExchange(headerBytes int64) {
+	c.inExchange.Store(true)
+	if c.limiter.MaxHeaderBytes > 0 {
+		c.limiter.set(c, headers, headerBytes)
+	}
+}
+
+// endExchange records that the response has been sent.
+func (c *connection) endExchange() {
+	c.limiter.set(c, headers, 0)
+	c.inExchange.Store(false)
+}
+
+func (c *connection) recordProgress() { c.progressAt.Store(c.limiter.Clock.Now().UnixNano()) }
+
+// waitsForClient reports whether the process waits for data from the client, or for the client to take data.
+func (c *connection) waitsForClient() bool { return c.calls.Load() == 0 || c.writing.Load() > 0 }
--- a/internal/fleet/meter/meter.go
+++ b/internal/fleet/meter/meter.go
@@ -1,7 +1,8 @@
-// Package meter provides counters and latency histograms, and serves them as text at the metrics address.
+// Package meter provides counters, gauges and latency histograms, and serves them as text at the metrics address.
 package meter
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
@@ -20,10 +21,11 @@
 	significantDigits      = 2
 )
 
-// Meter holds counters and histograms by name. A nil Meter discards all values. Meter is safe for concurrent use.
+// Meter holds counters, gauges and histograms by name. A nil Meter discards all values. Meter is safe for concurrent use.
 type Meter struct {
 	mutex      sync.Mutex
 	counters   map[string]int64
+	gauges     map[string]func() int64
 	histograms map[string]*hdrhistogram.Histogram
 }
 
@@ -40,6 +42,20 @@
 	m.counters[name]++
 }
 
+// Gauge registers a function that returns the current value of the gauge with the name. The function must be safe for concurrent use and must not call
+// the meter.
+func (m *Meter) Gauge(name string, value func() int64) {
+	if m == nil {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.gauges == nil {
+		m.gauges = map[string]func() int64{}
+	}
+	m.gauges[name] = value
+}
+
 // Observe adds a latency to the histogram with the name. Latencies above one minute are recorded as one minute.
 func (m *Meter) Observe(name string, d time.Duration) {
 	if m == nil {
@@ -60,31 +76,49 @@
 	}
 }
 
-// WriteTo writes one line for each counter and then one line for each histogram. Counters and histograms are sorted by name.
+// WriteTo writes one line for each counter, then one for each gauge, and then one for each histogram, each sorted by name. A slow writer does not delay
+// other calls.
 func (m *Meter) WriteTo(w io.Writer) (int64, error) {
+	var b bytes.Buffer
+	if err := m.write(&b); err != nil {
+		return 0, err
+	}
+	return b.WriteTo(w)
+}
+
+// write writes all lines to w.
+func (m *Meter) write(w io.Writer) error {
+	m.mutex.Lock()
+	gauges := maps.Clone(m.gauges)
+	m.mutex.Unlock()
+	values := map[string]int64{}
+	for name, value := range gauges {
+		values[name] = value()
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var written int64
 	for _, name := range slices.Sorted(maps.Keys(m.counters)) {
-		n, err := fmt.Fprintf(w, "%s %d\n", name, m.counters[name])
-		written += int64(n)
-		if err != nil {
-			return written, err
+		if _, err := fmt.Fprintf(w, "%s %d\n", name, m.counters[name]); err != nil {
+			return err
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		if _, err := fmt.Fprintf(w, "%s %d\n", name, values[name]); err != nil {
+			return err
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.histograms)) {
 		h := m.histograms[name]
-		n, err := fmt.Fprintf(w, "%s count %d mean-us %.0f p50-us %d p90-us %d p99-us %d max-us %d\n", name, h.TotalCount(), h.Mean(),
+		_, err := fmt.Fprintf(w, "%s count %d mean-us %.0f p50-us %d p90-us %d p99-us %d max-us %d\n", name, h.TotalCount(), h.Mean(),
 			h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max())
-		written += int64(n)
 		if err != nil {
-			return written, err
+			return err
 		}
 	}
-	return written, nil
+	return nil
 }
 
-// ServeHTTP responds with the counters and histograms in the format of WriteTo.
+// ServeHTTP responds with the counters, gauges and histograms in the format of WriteTo.
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	// Writing fails only if the client has disconnected.
--- a/internal/fleet/meter/meter_test.go
+++ b/internal/fleet/meter/meter_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"io"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -36,6 +37,36 @@
 		Expect(lines[2]).To(And(HavePrefix("append count 101"), ContainSubstring("p50-us 50")))
 	})
 
+	It("serves the current values of gauges", func() {
+		m, value := &meter.Meter{}, int64(0)
+		m.Gauge("connections", func() int64 { value++; return value })
+		for _, want := range []string{"connections 1\n", "connections 2\n"} {
+			var b strings.Builder
+			_, err := m.WriteTo(&b)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(b.String()).To(Equal(want))
+		}
+	})
+
+	// Guards against a client that reads the metrics slowly and blocks all components that count something.
+	It("counts while a reader is slow", func() {
+		m := &meter.Meter{}
+		m.Count("starts")
+		reader, writer := io.Pipe()
+		written := make(chan error, 1)
+		go func() {
+			_, err := m.WriteTo(writer)
+			written <- err
+		}()
+		_, err := reader.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		counted := make(chan struct{})
+		go func() { defer close(counted); m.Count("starts") }()
+		Eventually(counted).Should(BeClosed())
+		Expect(reader.Close()).To(Succeed())
+		Eventually(written).Should(Receive(HaveOccurred()))
+	})
+
 	It("discards values if it is nil", func() {
 		var m *meter.Meter
 		m.Count("x")
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"math"
 	"net"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -15,6 +18,69 @@
 	"bamboohook/recorder"
 )
 
+type (
+	// limitedListener is a fake whose connections share a number of free bytes. calls is the number of calls that have begun and not ended.
+	limitedListener struct {
+		net.Listener
+		mutex       sync.Mutex
+		free, calls int64
+	}
+
+	limitedConn struct {
+		net.Conn
+		listener *limitedListener
+		held     int64
+	}
+)
+
+func (l *limitedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, listener: l}, nil
+}
+
+func (l *limitedListener) state() [2]int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return [2]int64{l.free, l.calls}
+}
+
+func (l *limitedConn) Reserve(bytes int64) bool {
+	l.listener.mutex.Lock()
+	defer l.listener.mutex.Unlock()
+	if bytes > l.listener.free {
+		return false
+	}
+	l.listener.free -= bytes
+	l.held += bytes
+	return true
+}
+
+func (l *limitedConn) Release(bytes int64) {
+	l.listener.mutex.Lock()
+	defer l.listener.mutex.Unlock()
+	bytes = min(bytes, l.held)
+	l.listener.free += bytes
+	l.held -= bytes
+}
+
+func (l *limitedConn) BeginCall() { l.count(1) }
+
+func (l *limitedConn) EndCall() { l.count(-1) }
+
+func (l *limitedConn) count(calls int64) {
+	l.listener.mutex.Lock()
+	defer l.listener.mutex.Unlock()
+	l.listener.calls += calls
+}
+
+func (l *limitedConn) Close() error {
+	l.Release(math.MaxInt64)
+	return l.Conn.Close()
+}
+
 var _ = Describe("Client and Server", func() {
 	var (
 		address       string
@@ -99,6 +165,30 @@
 		Expect(client.Call(ctx, "echo", "text", nil)).To(Succeed())
 	})
 
+	// Guards against calls that take memory which the process does not have, and against memory that is not released after a call.
+	It("closes a connection for whose calls there is no memory, and releases the memory of each call after its response", func(ctx SpecContext) {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		limited := &limitedListener{Listener: inner, free: 1 << 20}
+		server := &peer.Server{}
+		server.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+		server.Handle("panic", func(context.Context, json.RawMessage) (any, error) { panic("unexpected") })
+		runCtx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Run(runCtx, limited) }()
+		defer func() { stop(); Eventually(stopped).Should(Receive(BeNil())) }()
+		client := &peer.Client{Address: inner.Addr().String()}
+		defer client.Close()
+		for range 3 {
+			Expect(client.Call(ctx, "echo", strings.Repeat("t", 200_000), nil)).To(Succeed())
+			Expect(client.Call(ctx, "none", "", nil)).To(MatchError(ContainSubstring("unknown method none")))
+			Expect(client.Call(ctx, "panic", "", nil)).To(MatchError(ContainSubstring("failed unexpectedly")))
+			Eventually(limited.state).Should(Equal([2]int64{1 << 20, 0}))
+		}
+		Expect(client.Call(ctx, "echo", strings.Repeat("t", 600_000), nil)).To(MatchError(ContainSubstring("failed")))
+		Expect(client.Call(ctx, "echo", "text", nil)).To(Succeed())
+	})
+
 	// Guards against an invalid frame from one client that closes the connections of other clients.
 	It("counts a frame that is too large and closes only the connection on which it arrived", func(ctx SpecContext) {
 		client := &peer.Client{Address: address}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,7 +28,8 @@
 		Observe(remote recorder.Timestamp) bool
 	}
 
-	// Server handles the calls on a listener. Register all handlers before Run. Each call runs in its own goroutine.
+	// Server handles the calls on a listener. Register all handlers before Run. Each call runs in its own goroutine. If the connections of the listener
+	// limit the memory of calls, a call that finds none ends its connection.
 	Server struct {
 		// HybridClock is the hybrid logical clock of the process. If it is nil, the timestamps of sent messages are zero,
 		// and those of received messages are ignored.
@@ -90,6 +91,10 @@
 // Server.connections when it is closed.
 func (s *Server) addConnection(calls *rpc.Server, conn net.Conn) {
 	w := &serverWire{wire: newWire(conn), server: s, refused: map[uint64]struct{}{}, closed: make(chan struct{})}
+	if limited, ok := conn.(limitedConn); ok {
+		w.limited = limited
+		w.codec.Reserve = func(bytes int) error { return w.reserve(int64(bytes) * frameFactor) }
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.connections == nil {
@@ -105,10 +110,19 @@
 	}()
 }
 
-// Call passes the parameters of a call to the handler of its method and stores the handler's result in response. It fails if the call has arrived
-// during a shutdown of the server. Each call runs in a goroutine of its own.
+// Call passes the parameters of a call to the handler of its method and stores the handler's result or error in response. Each call runs in a goroutine
+// of its own.
 func (r receiver) Call(request, response *message) error {
-	s := r.server
+	// An error that this method returned would reach WriteResponse without the response, which releases the memory of the call.
+	response.release = request.release
+	if err := r.server.call(request, response); err != nil {
+		response.failure = err.Error()
+	}
+	return nil
+}
+
+// call is Call with an error if the call has arrived during a shutdown of the server, or if the method is unknown or fails.
+func (s *Server) call(request, response *message) error {
 	if request.refused {
 		return eris.New("peer: shutting down")
 	}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
 
 	"bamboohook/internal/codec"
 	"bamboohook/recorder"
@@ -15,6 +18,18 @@
 // serviceMethod is the only method that package net/rpc knows. The header of a frame names the method of package peer.
 const serviceMethod = "peer.Call"
 
+const (
+	// frameTimeout is the longest time between the first and the last byte of a call. The largest frame takes 6.7 s at 10 Mbit/s.
+	frameTimeout = 15 * time.Second
+	// callBytes is the memory of a call beside its frame, mainly that of its goroutine, and frameFactor the memory per byte of its frame: the frame and its
+	// decoded content.
+	callBytes   = 4 << 10
+	frameFactor = 2
+	// reserveTimeout is how long a call waits for memory, and reserveInterval the time between two attempts.
+	reserveTimeout  = time.Second
+	reserveInterval = 20 * time.Millisecond
+)
+
 type (
 	// header is the header of a frame. The body of the frame contains the parameters or the result of the call.
 	header struct {
@@ -32,6 +47,19 @@
 		body      []byte
 		// refused reports that the call has arrived during the shutdown of the server.
 		refused bool
+		// release releases the memory of the call, which was reserved when it arrived. The response releases it after it was written, because a client
+		// that does not read responses must not make them pile up. It may be nil.
+		release func()
+		// failure is the error in a response, or "".
+		failure string
+	}
+
+	// limitedConn is a connection that limits the memory of the calls on it. A call begins when it has arrived and ends after its response was sent.
+	limitedConn interface {
+		Reserve(bytes int64) bool
+		Release(bytes int64)
+		BeginCall()
+		EndCall()
 	}
 
 	// wire reads and writes the frames of one connection.
@@ -55,6 +83,9 @@
 	serverWire struct {
 		wire
 		server *Server
+		// limited is the connection if it limits the memory of calls, or nil. reserved is what was reserved for the last frame that was read.
+		limited  limitedConn
+		reserved int64
 		// refused holds the numbers of the calls that have arrived during the shutdown of the server and have not been answered yet. The mutex of
 		// the server protects it.
 		refused   map[uint64]struct{}
@@ -63,6 +94,9 @@
 	}
 )
 
+// errNoMemory ends a connection for whose calls there is no memory.
+var errNoMemory = eris.New("peer: no memory for the call")
+
 // invalidFrames counts the received frames that are too large or malformed.
 var invalidFrames = expvar.NewInt("peer-malformed-frames")
 
@@ -124,7 +158,7 @@
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (w *serverWire) ReadRequestHeader(r *rpc.Request) error {
-	if err := w.readFrame(); err != nil {
+	if err := w.readRequest(); err != nil {
 		// Package net/rpc only waits for the calls in progress. Their responses cannot be sent any more.
 		_ = w.Close()
 		return io.EOF
@@ -134,10 +168,51 @@
 	return nil
 }
 
+// readRequest waits for the next frame, for any time, and then reads it within frameTimeout.
+func (w *serverWire) readRequest() error {
+	w.reserved = 0
+	if _, err := w.reader.Peek(1); err != nil {
+		return err
+	}
+	// An error of SetReadDeadline shows that the connection is closed, which the read reports too.
+	_ = w.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+	if err := w.reserve(callBytes); err != nil {
+		return err
+	}
+	if err := w.readFrame(); err != nil {
+		return err
+	}
+	_ = w.conn.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// reserve reserves memory for the frame that is being read. If there is none, it waits for the end of other calls.
+func (w *serverWire) reserve(bytes int64) error {
+	if w.limited == nil {
+		return nil
+	}
+	for begin := time.Now(); !w.limited.Reserve(bytes); time.Sleep(reserveInterval) {
+		if time.Since(begin) > reserveTimeout {
+			return errNoMemory
+		}
+	}
+	w.reserved += bytes
+	return nil
+}
+
 // ReadRequestBody implements rpc.ServerCodec.
 func (w *serverWire) ReadRequestBody(content any) error {
 	w.takeBody(content)
-	if m, ok := content.(*message); ok {
+	m, ok := content.(*message)
+	if limited, reserved := w.limited, w.reserved; limited != nil {
+		if ok {
+			limited.BeginCall()
+			m.release = func() { limited.EndCall(); limited.Release(reserved) }
+		} else {
+			limited.Release(reserved)
+		}
+	}
+	if ok {
 		w.server.mutex.Lock()
 		_, m.refused = w.refused[w.read.Sequence]
 		w.server.mutex.Unlock()
@@ -150,7 +225,13 @@
 	defer w.end(r.Seq)
 	h := header{Sequence: r.Seq, Error: r.Error}
 	m, ok := content.(*message)
-	if !ok || r.Error != "" {
+	if ok && m.release != nil {
+		defer m.release()
+	}
+	if ok && m.failure != "" {
+		h.Error = m.failure
+	}
+	if !ok || h.Error != "" {
 		return w.writeFrame(h, nil)
 	}
 	h.Timestamp = m.timestamp
--- a/test.sh
+++ b/test.sh
@@ -23,6 +23,9 @@
 if echo "$packages" | grep -qx bamboohook/tests/batch; then
   go test -count=1 -timeout 8m "$@" ./tests/batch -ginkgo.skip='(owner and agent lost|owner paused)$' || failed=1
 fi
+if echo "$packages" | grep -qx bamboohook/tests/clients; then
+  go test -count=1 -timeout 8m "$@" ./tests/clients || failed=1
+fi
 if echo "$packages" | grep -qx bamboohook/tests/requests; then
   go test -count=1 -timeout 8m "$@" ./tests/requests -ginkgo.skip='by (road checks|downloads) leaves the other kind of work its share$' || failed=1
 fi
