Answer a request whose headers find no memory with 503 instead of 400

The HTTP server of package net/http responds with status 400 to an error of the connection that does not come from the network. Callers take 400 as final and give the job up. The connection now sends 503 with Retry-After itself and returns an error of the network.

--- a/internal/fleet/limiter/connection.go
+++ b/internal/fleet/limiter/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,13 @@
 	"github.com/rotisserie/eris"
 )
 
+const (
+	// refusal is the response to a request for whose headers there is no memory.
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// refusalTimeout is the time for the transfer of the refusal to the kernel, which takes no time unless earlier responses have not been read.
+	refusalTimeout = 10 * time.Millisecond
+)
+
 // errNoMemory ends a connection whose headers find no memory.
 var errNoMemory = eris.New("limiter: no memory for the headers of the request")
 
@@ -51,11 +59,20 @@
 	}
 	c.recordProgress()
 	if l := c.limiter; l.MaxHeaderBytes > 0 && !c.inExchange.Load() && !l.reserve(c, headers, int64(n)*l.HeaderFactor) {
-		return 0, errNoMemory
+		return 0, c.refuse()
 	}
 	return n, err
 }
 
+// refuse tells the client to retry, if it takes the response at once, and returns the error for the HTTP server. The server must not respond: to an error
+// that does not come from the network it responds with status 400, which callers take as final.
+func (c *connection) refuse() error {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)); err == nil {
+		_, _ = io.WriteString(c.Conn, refusal)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errNoMemory}
+}
+
 // Write writes data within the time-out.
 func (c *connection) Write(b []byte) (int, error) {
 	c.writing.Add(1)
--- a/internal/fleet/limiter/limiter_test.go
+++ b/internal/fleet/limiter/limiter_test.go
@@ -257,6 +257,22 @@
 			Expect(send(inner.dial(), fmt.Sprintf(request, 1, "b"))).To(Equal(http.StatusOK))
 		})
 
+		// Guards against a response with status 400, which callers take as final, to a request that would succeed later.
+		It("refuses a request whose headers find no memory with 503 and Retry-After", func() {
+			holder := inner.dial()
+			_, err := io.WriteString(holder, "GET / HTTP/1.1\r\nA: "+strings.Repeat("a", 3300))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(metrics).Should(MatchRegexp("used-x-headers 99[0-9]{3}\n"))
+			client := inner.dial()
+			go func() { _, _ = fmt.Fprintf(client, request, 1, "b") }()
+			response, err := http.ReadResponse(bufio.NewReader(client), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(response.Header.Get("Retry-After")).To(Equal("1"))
+			Expect(response.Body.Close()).To(Succeed())
+			Eventually(func() bool { return isClosed(client) }).Should(BeTrue())
+		})
+
 		It("refuses a request whose body finds no memory before its body is read", func() {
 			holder := inner.dial()
 			go func() { _, _ = fmt.Fprintf(holder, request, 80, "b") }()
