--- a/internal/cli/budget.go
+++ b/internal/cli/budget.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"bamboohook/internal/boottimer"
 	"bamboohook/internal/codec"
 	"bamboohook/internal/fleet/limiter"
 	"bamboohook/internal/fleet/meter"
@@ -19,15 +18,15 @@
 	defaultDescriptors = 4096
 	// reservedDescriptors is the number of descriptors for files.
 	reservedDescriptors = 200
-	// connectionBytes is the memory of an idle connection: two goroutines, the buffers of the HTTP server, and a part of the kernel's buffers.
-	connectionBytes = 32 << 10
+	// connectionBytes is the memory of a connection without headers and messages: 16 kB for goroutines and buffers, and 32 kB that the kernel has received.
+	connectionBytes = 48 << 10
 	// headerFactor is the memory that a byte of headers takes at most: lines of 4 bytes.
 	headerFactor = 32
 	// receiveBufferBytes and sendBufferBytes are the kernel's buffers of a connection with HTTP, which the kernel doubles. 16 kB are enough for 10 Mbit/s
 	// and a round trip of 25 ms. peerBufferBytes is the receive buffer for calls between processes, whose frames are up to 8 MiB.
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 32 << 10
-	peerBufferBytes    = 128 << 10
+	peerBufferBytes    = 64 << 10
 	// writeTimeout is the time in which a client must take a response, and peerWriteTimeout that for responses between processes, of which the largest
 	// takes 6.7 s at 10 Mbit/s.
 	writeTimeout     = 10 * time.Second
@@ -46,6 +45,9 @@
 		peers                                                      bool
 	}
 
+	// monotonicClock is a clock that only moves forward. Unlike boottimer.Clock, it needs no system call, because it is read several times for each request.
+	monotonicClock struct{}
+
 	// budget creates the limiters of a process from its settings.
 	budget struct {
 		settings platform.Settings
@@ -64,6 +66,12 @@
 	agentPeerShare = share{descriptors: 30, connectionMemory: 14, messageMemory: 10, peers: true}
 )
 
+// startTime has a monotonic clock reading.
+var startTime = time.Now()
+
+// Now returns the current time.
+func (monotonicClock) Now() time.Time { return startTime.Add(time.Since(startTime)) }
+
 // limiter returns the limiter of a part of the budget.
 func (b *budget) limiter(name string, s share) *limiter.Limiter {
 	memory := cmp.Or(b.settings.MemoryBytes, defaultMemoryBytes)
@@ -74,7 +82,7 @@
 		MaxConnections: max(min(descriptors*s.descriptors/wholeShare, int(of(s.connectionMemory)/connectionBytes)), minConnections),
 		MaxHeaderBytes: of(s.headerMemory), MaxMessageBytes: of(s.messageMemory), HeaderFactor: headerFactor, WriteTimeout: writeTimeout,
 		ReceiveBufferBytes: receiveBufferBytes, SendBufferBytes: sendBufferBytes,
-		Clock: boottimer.Clock{}, Log: b.logger, Meter: b.meter,
+		Clock: monotonicClock{}, Log: b.logger, Meter: b.meter,
 	}
 	if s.peers {
 		l.WriteTimeout, l.ReceiveBufferBytes, l.SendBufferBytes = peerWriteTimeout, peerBufferBytes, 0
--- a/internal/fleet/limiter/connection.go
+++ b/internal/fleet/limiter/connection.go
@@ -15,6 +15,9 @@
 	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// refusalTimeout is the time for the transfer of the refusal to the kernel, which takes no time unless earlier responses have not been read.
 	refusalTimeout = 10 * time.Millisecond
+	// deadlineInterval is the minimum time between two changes of the deadline of writes, since each of them costs a change of a timer. Writes have that much
+	// less time at most.
+	deadlineInterval = time.Second
 )
 
 // errNoMemory ends a connection whose headers find no memory.
@@ -29,6 +32,8 @@
 		held [partCount]int64
 		// progressAt is when data was last transferred, in Unix nanoseconds of the clock.
 		progressAt atomic.Int64
+		// deadlineSetAt is when the deadline of writes was last set, like progressAt, or 0.
+		deadlineSetAt atomic.Int64
 		// calls is the number of requests or calls that the process handles. While there is one, the process does not wait for the client, unless it
 		// is writing.
 		calls   atomic.Int32
@@ -77,17 +82,25 @@
 func (c *connection) Write(b []byte) (int, error) {
 	c.writing.Add(1)
 	defer c.writing.Add(-1)
-	if c.limiter.WriteTimeout > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(c.limiter.WriteTimeout)); err != nil {
-			return 0, err
-		}
-	}
 	c.recordProgress()
+	if err := c.extendDeadline(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(b)
 	c.recordProgress()
 	return n, err
 }
 
+// extendDeadline sets the deadline of writes, unless it was set less than deadlineInterval ago.
+func (c *connection) extendDeadline() error {
+	now, set := c.progressAt.Load(), c.deadlineSetAt.Load()
+	if c.limiter.WriteTimeout <= 0 || set != 0 && now-set < int64(deadlineInterval) {
+		return nil
+	}
+	c.deadlineSetAt.Store(now)
+	return c.SetWriteDeadline(time.Now().Add(c.limiter.WriteTimeout))
+}
+
 // Close closes the connection and releases everything that it holds.
 func (c *connection) Close() error {
 	c.limiter.remove(c)
--- a/internal/fleet/limiter/limiter.go
+++ b/internal/fleet/limiter/limiter.go
@@ -49,7 +49,7 @@
 		MaxHeaderBytes, MaxMessageBytes int64
 		// HeaderFactor is the memory in bytes that a received byte of headers takes at most.
 		HeaderFactor int64
-		// WriteTimeout is the time in which a client must take the data of one write.
+		// WriteTimeout is the time in which a client must take the data of one write. It may be up to 1 s less.
 		WriteTimeout time.Duration
 		// ReceiveBufferBytes and SendBufferBytes are the sizes of the kernel's buffers for each connection. 0 leaves them as they are.
 		ReceiveBufferBytes, SendBufferBytes int
