--- a/internal/fleet/meter/meter_test.go
+++ b/internal/fleet/meter/meter_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"io"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -47,6 +48,36 @@
 		Expect(text.String()).To(Equal("evacuated 0\nstarts 1\n"))
 	})
 
+	It("serves the current values of gauges", func() {
+		m, value := &meter.Meter{}, int64(0)
+		m.Gauge("connections", func() int64 { value++; return value })
+		for _, want := range []string{"connections 1\n", "connections 2\n"} {
+			var b strings.Builder
+			_, err := m.WriteTo(&b)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(b.String()).To(Equal(want))
+		}
+	})
+
+	// Guards against a client that reads the metrics slowly and blocks all components that count something.
+	It("counts while a reader is slow", func() {
+		m := &meter.Meter{}
+		m.Count("starts")
+		reader, writer := io.Pipe()
+		written := make(chan error, 1)
+		go func() {
+			_, err := m.WriteTo(writer)
+			written <- err
+		}()
+		_, err := reader.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		counted := make(chan struct{})
+		go func() { defer close(counted); m.Count("starts") }()
+		Eventually(counted).Should(BeClosed())
+		Expect(reader.Close()).To(Succeed())
+		Eventually(written).Should(Receive(HaveOccurred()))
+	})
+
 	It("discards values if it is nil", func() {
 		var m *meter.Meter
 		m.Count("x")
