--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -60,6 +60,9 @@
 		FencingToken uint64
 		// RecordedSequence allows the endpoint to discard its run results up to this sequence number.
 		RecordedSequence int64
+		// KnownSequence is the sequence number of the last run result that the agent knows. The endpoint does not need it: it shows which numbers in
+		// the response are plausible, also if the request acknowledges nothing.
+		KnownSequence int64
 		// DeadlineMS is when the renewed leases expire, in milliseconds on the endpoint's clock. 0 renews no leases.
 		DeadlineMS int64
 		// MaxWait is how long the endpoint may delay its response until a run ends.
--- a/internal/fleet/attendant/silence_test.go
+++ b/internal/fleet/attendant/silence_test.go
@@ -274,6 +274,9 @@
 			if q.MaxWait > 0 && q.RecordedSequence > 0 {
 				t.Fatalf("a list request that may wait for %v acknowledges result %d", q.MaxWait, q.RecordedSequence)
 			}
+			if q.KnownSequence < acknowledged {
+				t.Fatalf("a list request tells that result %d is the last known one, after %d was acknowledged", q.KnownSequence, acknowledged)
+			}
 			acknowledged = max(acknowledged, q.RecordedSequence)
 		}
 		if acknowledged != 20 {
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -163,7 +163,7 @@
 func (a *Attendant) list(ctx context.Context, wait time.Duration) error {
 	a.mutex.Lock()
 	sentAt := a.Clock.Now()
-	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait}
+	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait, KnownSequence: a.lastResultSequence}
 	if a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" {
 		q.EndpointID = a.heartbeat.EndpointID
 		// A request that the endpoint may delay could wait at the next process with the same ID, and make it discard results that it gets meanwhile.
