--- a/internal/batch/coordinator/recovery_test.go
+++ b/internal/batch/coordinator/recovery_test.go
@@ -129,6 +129,8 @@
 				w.sleep(10 * time.Second)
 				end()
 				time.Sleep(time.Second)
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
 				first := w.firstResponseAt
 				var delays []time.Duration
 				for id := range tasks {
@@ -203,6 +205,8 @@
 		w.sleep(time.Until(takenOverAt.Add(unaware)))
 		end()
 		time.Sleep(time.Second)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
 		numbered := false
 		for _, e := range w.events {
 			if e.at.Before(takenOverAt.Add(200 * time.Millisecond)) {
--- a/internal/fleet/attendant/confirmation_test.go
+++ b/internal/fleet/attendant/confirmation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,7 +40,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				e := newEndpoint()
+				var mutex sync.Mutex
 				var last messenger.Report
+				lastReport := func() messenger.Report {
+					mutex.Lock()
+					defer mutex.Unlock()
+					return last
+				}
 				a := &attendant.Attendant{
 					Address: "vm", Generation: "g", Endpoint: e, Clock: virtualClock{}, Log: zerolog.Nop(),
 					LeaseDurations: attendant.LeaseDurations{Grant: 3 * time.Second, Run: 3 * time.Second}, Seeds: []string{"owner", "silent"},
@@ -47,6 +54,8 @@
 						if entry == "silent" {
 							return messenger.ReportResponse{}, errors.New("no response")
 						}
+						mutex.Lock()
+						defer mutex.Unlock()
 						last = r
 						return messenger.ReportResponse{
 							Owner: "owner", Epoch: epoch, Session: session, Granted: true, Incarnation: r.Incarnation, OwnerConfirmed: test.confirmsReports && r.Session == session,
@@ -63,12 +72,12 @@
 					EndpointID: "e", Incarnation: e.incarnation, Sequence: 1, Service: "s", Capacity: resource.Amount{MilliProcessors: 1000, MemoryBytes: 100},
 				})
 				time.Sleep(time.Second)
-				if refused := last.StartsRefusedFor; test.confirmsReports != (refused == 0) || refused > refusal {
+				if refused := lastReport().StartsRefusedFor; test.confirmsReports != (refused == 0) || refused > refusal {
 					t.Errorf("the last report says that starts are refused for %v", refused)
 				}
 				send := func(number int, change func(o *messenger.Orders)) string {
 					o := messenger.Orders{
-						Epoch: epoch, Owner: "owner", Session: session, Incarnation: e.incarnation, ReportSentMS: last.SentMS,
+						Epoch: epoch, Owner: "owner", Session: session, Incarnation: e.incarnation, ReportSentMS: lastReport().SentMS,
 						Starts: []messenger.Start{{Task: "a.0.0.0", Number: number, Size: resource.Amount{MilliProcessors: 600, MemoryBytes: 60}}},
 					}
 					if change != nil {
@@ -86,8 +95,8 @@
 				if reason := send(2, nil); reason != "" {
 					t.Errorf("after the refusal, orders are rejected with the reason %q", reason)
 				}
-				if last.StartsRefusedFor > refusal-time.Second {
-					t.Errorf("a later report says that starts are refused for %v", last.StartsRefusedFor)
+				if refused := lastReport().StartsRefusedFor; refused > refusal-time.Second {
+					t.Errorf("a later report says that starts are refused for %v", refused)
 				}
 			})
 		})
