--- a/internal/batch/coordinator/unconfirmed_pace_test.go
+++ b/internal/batch/coordinator/unconfirmed_pace_test.go
@@ -76,4 +76,3 @@
 		})
 	}
 })
-
