Wait for the longest lease where a silent endpoint may have been replaced

Cause: a start or a renewal that was meant for the previous endpoint process carries a deadline on that one's clock. If that process carried out calls but its answers were lost, the agent reported its runs as ended too early, and a task had two runs at the same time. Change: if a list request has failed otherwise than by its timeout since the last response, the agent waits for the longest lease of the settings. Simulated silences may now lose only the answers.

--- a/internal/batch/coordinator/exclusion_classes_test.go
+++ b/internal/batch/coordinator/exclusion_classes_test.go
@@ -207,9 +207,10 @@
 		// restarts makes an agent process begin so long after the silence.
 		restarts time.Duration
 		// startsMeanwhile orders starts when the endpoint has just become silent. takesOver makes another owner take over.
-		startsMeanwhile, takesOver bool
-		runTime                    time.Duration
-		bound                      time.Duration
+		// losesAnswers makes the endpoint carry out calls without an answer.
+		startsMeanwhile, takesOver, losesAnswers bool
+		runTime                                  time.Duration
+		bound                                    time.Duration
 		// returns makes the endpoint respond again so long after the tasks run elsewhere.
 		returns time.Duration
 	}{
@@ -217,6 +218,9 @@
 		"for good, starts meanwhile":        {runTime: 12 * time.Second, bound: maxElsewhereTime, startsMeanwhile: true},
 		"for good, with a new agent":        {runTime: 12 * time.Second, bound: maxElsewhereTime + time.Second, restarts: time.Second},
 		"for good, with a new owner":        {runTime: 12 * time.Second, bound: maxElsewhereTime, takesOver: true},
+		"for good, loses only answers":      {runTime: 12 * time.Second, bound: maxElsewhereTime, losesAnswers: true},
+		"loses only answers, new agent":     {runTime: 12 * time.Second, bound: maxElsewhereTime + time.Second, losesAnswers: true, restarts: time.Second},
+		"loses only answers, returns":       {runTime: 12 * time.Second, bound: maxElsewhereTime, losesAnswers: true, returns: time.Second},
 		"returns while the tasks run":       {runTime: 12 * time.Second, bound: maxElsewhereTime, returns: 2 * time.Second},
 		"returns after the tasks are done":  {runTime: 12 * time.Second, bound: maxElsewhereTime, returns: 13 * time.Second},
 		"returns with ends from before":     {runTime: 3 * time.Second, bound: maxElsewhereTime, returns: 500 * time.Millisecond},
@@ -230,6 +234,7 @@
 				j := w.submitTasks("a", wholeVM)
 				w.awaitRuns(wholeVM)
 				tasks := w.tasksOn(silent)
+				w.locked(func(w *simWorld) { w.endpoints[silent].losesAnswers = c.losesAnswers })
 				w.beginSilence(silent)
 				beganAt := time.Now()
 				ids := []job.Job{j}
@@ -314,3 +319,41 @@
 		})
 	}
 }
+
+// Guards against a second run of a task while the first one still has a lease: a start that was meant for the previous endpoint process, with a deadline on
+// that one's clock, begins a run at the next process with its ID, which gives the longest lease that an endpoint gives, and is silent from then on.
+func TestSilentNextProcess(t *testing.T) {
+	for name, losesAnswers := range map[string]bool{"holds calls": false, "carries out calls without an answer": true} {
+		t.Run(name, func(t *testing.T) { testSilentNextProcess(t, losesAnswers) })
+	}
+}
+
+func testSilentNextProcess(t *testing.T, losesAnswers bool) {
+	t.Helper()
+	playScript(t, 2, 20*time.Second, func(w scriptedWorld) {
+		// The clock of the previous process is far ahead of that of the next one.
+		w.sleep(scriptTimeout)
+		var vm string
+		w.locked(func(w *simWorld) {
+			for _, e := range w.endpoints {
+				id := e.process.id
+				close(e.process.resultAdded)
+				w.startEndpoint(e, id)
+			}
+		})
+		w.submitTasks("a", 1)
+		w.await("a run at a next process", func() bool {
+			for name, e := range w.endpoints {
+				if len(e.process.runs) > 0 {
+					vm = name
+					return true
+				}
+			}
+			return false
+		})
+		w.sleep(3 * maxCallDelay)
+		w.locked(func(w *simWorld) { w.endpoints[vm].losesAnswers = losesAnswers })
+		w.beginSilence(vm)
+		w.await("a run elsewhere", func() bool { return len(w.starts["a.0.0.0"]) == 2 })
+	})
+}
--- a/internal/batch/coordinator/exclusion_endpoint_test.go
+++ b/internal/batch/coordinator/exclusion_endpoint_test.go
@@ -41,6 +41,8 @@
 	maxSilenceTime   = 14 * time.Second
 	// heldCallShare is the share of the calls to a silent endpoint that are carried out when it responds again.
 	heldCallShare = 0.7
+	// lostAnswersShare is the share of the silences in which only answers are lost.
+	lostAnswersShare = 0.4
 	// maxListedResults is the limit of the results in a list of a world with limited lists.
 	maxListedResults = 1
 )
@@ -56,8 +58,9 @@
 		// maxListed, unless 0, is how many results are listed at a time.
 		maxListed int
 		// silent makes calls get no answer and sends no heartbeats. heldCalls holds the calls since then, which may be carried out when the silence ends.
-		silent    bool
-		heldCalls []func()
+		// With losesAnswers, calls to the silent endpoint are carried out at once and only their answers are lost.
+		silent, losesAnswers bool
+		heldCalls            []func()
 		// sendsNoHeartbeats makes the endpoint send no heartbeats.
 		sendsNoHeartbeats bool
 	}
@@ -330,7 +333,11 @@
 	var late, lost, silent bool
 	w.locked(func(w *simWorld) {
 		if silent = c.endpoint.silent && !w.calm && c.endpoint.process != nil; silent {
-			c.endpoint.holdCall(execute, c.agent.generation)
+			if c.endpoint.losesAnswers {
+				_ = execute(c.endpoint.process, "without an answer")
+			} else {
+				c.endpoint.holdCall(execute, c.agent.generation)
+			}
 			return
 		}
 		late, lost = !w.calm && w.chance(rates.late), !w.calm && w.chance(rates.lost)
@@ -392,9 +399,9 @@
 		if e.silent {
 			return
 		}
-		e.silent = true
+		e.silent, e.losesAnswers = true, w.chance(lostAnswersShare)
 		d := w.duration(minSilenceTime, maxSilenceTime)
-		w.log("", "%s: the endpoint is silent for %v", e.vm, d)
+		w.log("", "%s: the endpoint is silent for %v, calls are carried out: %t", e.vm, d, e.losesAnswers)
 		w.later(d, func(*simWorld) { e.endSilence(heldCallShare) })
 	})
 }
--- a/internal/batch/coordinator/exclusion_world_test.go
+++ b/internal/batch/coordinator/exclusion_world_test.go
@@ -423,7 +423,7 @@
 	p.ctx, p.kill = context.WithCancel(w.ctx)
 	p.attendant = &attendant.Attendant{
 		Address: a.vm, Generation: p.generation, Endpoint: &endpointClient{w.endpoints[a.vm], p}, Reporter: &simReporter{w, p}, Clock: simClock{},
-		LeaseDurations: attendant.LeaseDurations{Grant: simLeases.Grant, Run: simLeases.Run}, StopTimeout: maxStopTime, Seeds: ownerAddresses,
+		LeaseDurations: attendant.LeaseDurations{Grant: simLeases.Grant, Run: simLeases.Run, Longest: maxSimLease}, StopTimeout: maxStopTime, Seeds: ownerAddresses,
 		Log: zerolog.New(simLog{w, p.generation, a.vm}),
 	}
 	a.process = p
--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -35,9 +35,10 @@
 	a := &attendant.Attendant{
 		Meter:   m,
 		Address: settings.PeerAddress, Generation: rand.Text(), Endpoint: endpoint,
-		Reporter: &caller.Client{}, Clock: boottimer.Clock{}, Log: logger, LeaseDurations: attendant.LeaseDurations{Grant: grantDuration, Run: runLeaseDuration},
-		StopTimeout: settings.StopTimeout,
-		Seeds:       settings.Entries,
+		Reporter: &caller.Client{}, Clock: boottimer.Clock{}, Log: logger,
+		LeaseDurations: attendant.LeaseDurations{Grant: grantDuration, Run: runLeaseDuration, Longest: settings.MaxLease},
+		StopTimeout:    settings.StopTimeout,
+		Seeds:          settings.Entries,
 		DiscoverEntries: func(ctx context.Context) []string {
 			callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 			defer cancel()
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -137,6 +137,8 @@
 		Grant time.Duration
 		// Run is the duration of a lease: how long a run continues after the last renewal.
 		Run time.Duration
+		// Longest is the longest lease that an endpoint gives, whatever it is asked for. 0 counts as Run.
+		Longest time.Duration
 	}
 
 	// Attendant is the agent of one endpoint. Set the exported fields before calling Run. Attendant is safe for concurrent use.
@@ -200,6 +202,9 @@
 		// lastLeaseAt is when a request that begins or renews leases was last sent, or when the agent was started: an earlier agent process may
 		// have sent one until then.
 		lastLeaseAt time.Time
+		// mayBeReplaced reports whether a list request has failed otherwise than by its timeout since the last response. The endpoint process may then be
+		// another one with the same ID, for whose clock the deadlines of leases are not meant.
+		mayBeReplaced bool
 		// silent reports whether all leases have expired without a response of the endpoint.
 		silent bool
 		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -196,13 +196,14 @@
 	defer a.notifyListEnded()
 	if err != nil {
 		a.handleListError(err, q)
+		a.mayBeReplaced = a.mayBeReplaced || !late && callCtx.Err() == nil
 		if late || callCtx.Err() != nil {
 			a.checkSilence(sentAt)
 			return errUnanswered
 		}
 		return err
 	}
-	a.lastResponseAt = a.Clock.Now()
+	a.lastResponseAt, a.mayBeReplaced = a.Clock.Now(), false
 	if a.silent {
 		a.silent = false
 		a.renewGeneration("the endpoint responds again after the leases of its runs have expired")
@@ -221,7 +222,7 @@
 // checkSilence handles a list request without a response that was sent at sentAt. If it was sent when all leases had expired, no run is at work at the
 // endpoint, and the agent reports so. The caller holds the mutex.
 func (a *Attendant) checkSilence(sentAt time.Time) {
-	if a.silent || !a.endpointOverdue(sentAt) || sentAt.Sub(a.lastLeaseAt) <= a.LeaseDurations.Run+leaseMargin {
+	if a.silent || !a.endpointOverdue(sentAt) || !a.leasesExpired(sentAt) {
 		return
 	}
 	a.Log.Warn().Int64("life", a.incarnation).Dur("silence", a.Clock.Now().Sub(a.lastResponseAt)).Dur("since-renewal", a.Clock.Now().Sub(a.lastLeaseAt)).
@@ -233,6 +234,15 @@
 	a.requestReport()
 }
 
+// leasesExpired reports whether all leases that the agent has asked for have certainly expired at the time. The caller holds the mutex.
+func (a *Attendant) leasesExpired(now time.Time) bool {
+	lease := a.LeaseDurations.Run
+	if a.mayBeReplaced {
+		lease = max(lease, a.LeaseDurations.Longest)
+	}
+	return now.Sub(a.lastLeaseAt) > lease+leaseMargin
+}
+
 // dropConfirmedRuns removes the runs that the endpoint has confirmed, after they have certainly ended. A start in progress may still reach the next
 // endpoint process. The caller holds the mutex.
 func (a *Attendant) dropConfirmedRuns() {
@@ -247,7 +257,7 @@
 // dropExpiredStarts removes the runs whose starts were not answered, if the leases of all starts had expired at the time: the endpoint then executes none
 // of them any more. The owner knows how long one of them may reach the next endpoint process. The caller holds the mutex.
 func (a *Attendant) dropExpiredStarts(now time.Time) {
-	if now.Sub(a.lastLeaseAt) <= a.LeaseDurations.Run+leaseMargin {
+	if !a.leasesExpired(now) {
 		return
 	}
 	for task, x := range a.runs {
