Keep the records of a read that fails before the end of the topic

Cause: since Store.Follow reads to the end of the topic, an owner on a thin link that cannot transfer a long rest within the time-out would read the same records again and again. Change: Follow returns what it has read before an error, and the elector goes on after it without counting that as a proof of the ownership. There is no test yet that fails without this change.

--- a/internal/fleet/elector/claim.go
+++ b/internal/fleet/elector/claim.go
@@ -243,6 +243,7 @@
 		}
 		if err != nil {
 			e.Log.Warn().Err(err).Msg("failed to read new records from the store")
+			e.keepPartOf(records, offset, next)
 			sleeper.Sleep(ctx, storeRetryPause)
 			continue
 		}
@@ -255,6 +256,18 @@
 	}
 }
 
+// keepPartOf takes records into account that Follow returned from the offset on before it failed, so that the next read is shorter. They do not show that
+// there is no later claim.
+func (e *Elector) keepPartOf(records []storekeeper.Record, offset, next int64) {
+	newest := newestClaim(records)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if next > offset && e.storeOffset == offset {
+		e.storeOffset = next
+		e.observeEpoch(newest.Epoch, newest.Address)
+	}
+}
+
 // newestClaim returns the newest claim among the records, or a zero claim if there is none. It leaves out claims with an epoch out of range.
 func newestClaim(records []storekeeper.Record) ownerClaim {
 	var newest ownerClaim
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -75,7 +75,8 @@
 		// Load returns the newest record of each key and the offset from which Follow returns the records after them.
 		Load(ctx context.Context) ([]storekeeper.Record, int64, error)
 		// Follow returns the records from the offset on and the offset after the last one. If there are none, it waits for them, at
-		// most for the given time. It returns storekeeper.ErrDeleted if records at the offset were deleted.
+		// most for the given time. It returns storekeeper.ErrDeleted if records at the offset were deleted. With another error it may return the
+		// first part of the records and the offset after them.
 		Follow(ctx context.Context, from int64, wait time.Duration) ([]storekeeper.Record, int64, error)
 		// RegisterEntry adds an entry to the list of entries in the store, or replaces it. RemoveEntry removes the entry with the
 		// address. Entries returns the list.
