--- a/internal/batch/coordinator/coordinator.go
+++ b/internal/batch/coordinator/coordinator.go
@@ -11,9 +11,13 @@
 	"github.com/rotisserie/eris"
 
 	"bamboohook/internal/batch/antagonist"
+	"bamboohook/internal/batch/appraiser"
+	"bamboohook/internal/batch/assessor"
 	"bamboohook/internal/batch/bookkeeper"
+	"bamboohook/internal/batch/delayer"
 	"bamboohook/internal/batch/dispatcher"
 	"bamboohook/internal/batch/inquirer"
+	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/storekeeper"
 )
@@ -86,6 +90,12 @@
 		// ordersScannedAt.
 		vmsWithChangedRuns map[string]*vm
 		ordersScannedAt    time.Time
+		// confirming reports whether ConfirmOwnership is in progress, confirmationRequestedAt is when it was last called.
+		confirming              bool
+		confirmationRequestedAt time.Time
+		// announcementBudget is the number of agents without a report that may be called at announcementBudgetAt.
+		announcementBudget   float64
+		announcementBudgetAt time.Time
 		// wake receives a value when Run should plan soon. wakeChannelLocked creates it.
 		wake       chan struct{}
 		dispatcher dispatcher.Dispatcher
@@ -96,8 +106,18 @@
 		recordedUpdates        int
 		modelRecordRequestedAt time.Time
 		modelRecordDue         bool
+		// assessor recognises that best-effort work is short of processors, which was last checked at shortageCheckedAt. appraiser estimates what work is
+		// worth then.
+		assessor          assessor.Assessor
+		shortageCheckedAt time.Time
+		appraiser         appraiser.Appraiser
 		// inquirer chooses the requests to the Advisor and keeps its tickets.
 		inquirer inquirer.Inquirer
+		// evacuations is the set of evacuated data centres that the last plan used, or nil. evacuationsUnknown reports that the plan placed nothing because
+		// the set was unknown or too old.
+		// All VMs have their Evacuated according to this set.
+		evacuations        *evacuation.Set
+		evacuationsUnknown bool
 		// loadLoggedAt is when the total load was last logged.
 		loadLoggedAt time.Time
 	}
@@ -139,15 +159,20 @@
 	s.changedJobs, s.removedKeys, s.delayedRetries = nil, nil, nil
 	s.changedVMs, s.predecessorsJobs = map[string]struct{}{}, map[*bookkeeper.Job]struct{}{}
 	s.vmsWithChangedRuns, s.ordersScannedAt = map[string]*vm{}, time.Time{}
+	s.announcementBudget, s.announcementBudgetAt = maxAnnouncementBurst, now
 	s.inquirer = inquirer.Inquirer{}
 	s.dispatcher = dispatcher.Dispatcher{}
+	if c.Limits.RemoteFactor > 1 {
+		// What an earlier owner has learnt is lost. Until enough runs have ended, no task waits for its rack.
+		s.dispatcher.Delayer = &delayer.Delayer{RemoteFactor: c.Limits.RemoteFactor}
+	}
 	s.interferenceModel, s.recordedUpdates, s.modelRecordRequestedAt = antagonist.Model{}, 0, now
+	s.assessor, s.appraiser, s.shortageCheckedAt = assessor.Assessor{}, appraiser.Appraiser{}, now
 	c.restoreTombstones(records)
 	stored := groupRecords(records)
 	for _, r := range records {
 		if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
-			s.vms[name] = c.newVM(name)
-			s.vms[name].mayHaveRuns, s.vms[name].recordStored = true, true
+			c.restoreVM(name, r.Value)
 		}
 		if r.Key == keyModel {
 			if err := s.interferenceModel.Restore(r.Value); err != nil {
@@ -184,6 +209,7 @@
 	}
 	j := s.jobs.Job(id)
 	s.acceptedQueues[accepted.Job.Queue] = accepted.Queue
+	s.appraiser.Observe(j.Queue, j.Work())
 	s.restoredJobs[j] = struct{}{}
 	if accepted.Epoch+1 == s.epoch {
 		s.predecessorsJobs[j] = struct{}{}
@@ -204,6 +230,7 @@
 		return
 	}
 	s.owning = false
+	c.clearEvacuationMeter(evacuatedDataCentres(s.evacuations))
 	c.Log.Info().Uint64("epoch", s.epoch).Str("reason", reason).Msg("this entry no longer owns the jobs")
 	for id, pending := range s.pendingSubmissions {
 		pending.response = messenger.JobResponse{Outcome: messenger.OutcomeNotOwner, MayHaveEffect: true}
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -15,6 +15,7 @@
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/batch/pacer"
 	"bamboohook/internal/fleet/committer"
+	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/meter"
 )
@@ -71,6 +72,8 @@
 		MissTolerance time.Duration
 		// StopTimeout is the longest time between the confirmation of a stop by an endpoint and the end of the run.
 		StopTimeout time.Duration
+		// RemoteFactor is the ratio of the duration of a task off its preferred rack to that on it. Up to 1, no task waits for its rack.
+		RemoteFactor float64
 		// RecordBytes is the size of the largest record that the store accepts, RequestBytes that of all records in one write. 0 means no limit.
 		RecordBytes  int
 		RequestBytes int
@@ -104,6 +107,12 @@
 		Address string
 		// OnOutdated is called when another entry has a newer configuration of the queues. It must not block. It may be nil.
 		OnOutdated func()
+		// Evacuations returns the set of evacuated data centres, or nil if none is known, and the time since the store certainly had no later record about
+		// them. If it is nil, no data centre is ever evacuated. Call WakePlanner when the set changes.
+		Evacuations func() (set *evacuation.Set, age time.Duration)
+		// MaxEvacuationAge is the age of the set from which on nothing is placed on any VM, since a data centre may be evacuated. The same holds while no
+		// set is known. 0 means that no bound applies, and that an unknown set counts as empty.
+		MaxEvacuationAge time.Duration
 		// MayGrantLeases reports whether agents may renew leases: it is true while no other entry can own the jobs.
 		MayGrantLeases func() bool
 		// MayShowStates reports whether callers may see the states of jobs. It is false after a pause of this process, in which another entry may have
@@ -112,6 +121,11 @@
 		// OwnedAt returns the latest time at which certainly no other entry owned the jobs. A later owner renews leases, so the silence of a VM
 		// proves that its leases have expired only if no other entry owned the jobs until then.
 		OwnedAt func() time.Time
+		// ConfirmedAt returns when the last request was sent to which the store has responded and which shows that this entry was the owner of the
+		// epoch, or the zero time. ConfirmOwnership sends such a request at once. Without them, new agent processes that could not ask all entries for
+		// the owner accept starts only after a time-out.
+		ConfirmedAt      func(epoch uint64) time.Time
+		ConfirmOwnership func(ctx context.Context, epoch uint64) error
 		// Spawn runs a function in the background. If it is nil, the coordinator starts a goroutine.
 		Spawn func(func())
 
@@ -126,12 +140,17 @@
 		agentGeneration string
 		session         uint64
 		identifiedAt    time.Time
+		// startsRefusedUntil is when the agent process accepts starts although it could not ask all entries for the owner, according to the last
+		// report. It is the zero time if it accepts them.
+		startsRefusedUntil time.Time
 		// reportSequence is the sequence number of the last report. reportSentMS is when that report was sent, in milliseconds since the start
 		// of the agent process.
 		reportSequence uint64
 		reportSentMS   int64
 		incarnation    int64
 		endpointID     string
+		// dataCentre is the last reported data centre, or "" before one was reported.
+		dataCentre string
 		// reportedState is the state of the VM in the last report.
 		reportedState string
 		// runsListed reports whether the last report listed all runs of the endpoint process. unknownRuns reports that a row without a readable task
@@ -167,6 +186,8 @@
 		recordStored bool
 		// hasUnknownRuns reports whether the VM has a run of an unknown task.
 		hasUnknownRuns bool
+		// recordedService is the service of the VM according to the record of an earlier owner. It only orders the calls of the agents.
+		recordedService string
 		// announcedAt is when empty orders that name the owner were last sent to the agent. They are sent until its first report in this epoch
 		// arrives.
 		announcedAt time.Time
@@ -184,8 +205,9 @@
 		ticketText string
 		// needed reports whether the result of the run still matters to its task.
 		needed bool
-		// confirmed reports whether the run certainly exists or has existed.
-		confirmed bool
+		// confirmed reports whether the run certainly exists or has existed, since confirmedAt.
+		confirmed   bool
+		confirmedAt time.Time
 		// If expectedInReports is set, a complete report with the sequence number visibleFrom or a higher one lists the run unless it has
 		// ended. Otherwise, the run may be missing in a report although its start may still reach the endpoint.
 		expectedInReports bool
@@ -225,6 +247,8 @@
 		waited time.Duration
 		// startedOverdue reports whether the task was overdue when the run was placed on the VM.
 		startedOverdue bool
+		// offRack reports whether the run is off the preferred rack of its task, or its gang on several racks that should be on one.
+		offRack bool
 		// paceLowSince is when the pace fell below stuckBelowPercent, or the zero time if it is not below that now.
 		paceLowSince time.Time
 	}
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -70,6 +70,7 @@
 	if request != nil {
 		c.spawn(func() { c.sendTicketRequest(ctx, *request) })
 	}
+	c.confirmForAgents(ctx)
 }
 
 // Tick opens due occurrences, removes lost VMs, stops runs on draining VMs and removes ended jobs and tombstones whose retention is over. It also logs the
@@ -85,6 +86,7 @@
 	for _, j := range s.jobs.LiveJobs() {
 		s.jobs.OpenDueOccurrences(j, wallTime)
 	}
+	c.checkShortage(now)
 	if now.Sub(s.loadLoggedAt) >= loadLogInterval {
 		s.loadLoggedAt = now
 		c.logLoad(now)
@@ -182,19 +184,17 @@
 	if !s.owning || !c.MayGrantLeases() {
 		return nil, nil
 	}
-	now := c.Clock.Now()
+	now, confirmedAt := c.Clock.Now(), c.confirmedAt()
+	c.updateEvacuations()
+	c.withdrawStarts(now)
 	request := c.nextTicketRequest(c.placeTasks(now), now)
 	ordersByVM := map[string]messenger.Orders{}
 	for name, v := range c.vmsToSearch(now) {
 		o := messenger.Orders{Epoch: s.epoch, Owner: c.Address, Session: v.session, Incarnation: v.incarnation, ReportSentMS: v.reportSentMS}
 		if v.lastReportAt.IsZero() {
-			// Even empty orders name the owner, so that the agent knows where to send its reports.
-			if now.Sub(v.announcedAt) > orderRetryInterval {
-				v.announcedAt = now
-				ordersByVM[name] = o
-			}
 			continue
 		}
+		o.OwnerConfirmed = v.refusesStarts(now) && confirmedAt.After(v.identifiedAt)
 		if !v.addOrders(&o, now) {
 			c.runsChanged(v)
 			c.wakePlanner()
@@ -203,6 +203,7 @@
 			ordersByVM[name] = o
 		}
 	}
+	c.addAnnouncements(ordersByVM, now)
 	return ordersByVM, request
 }
 
@@ -225,8 +226,32 @@
 // queues that had waiting tasks.
 func (c *Coordinator) placeTasks(now time.Time) []*bookkeeper.Step {
 	s := &c.state
-	var steps, advisedSteps []*bookkeeper.Step
-	queues := map[string]dispatcher.Queue{}
+	steps, advisedSteps, queues := c.stepsToPlace(now)
+	if len(steps)+len(advisedSteps) == 0 {
+		return nil
+	}
+	vms, coordinatorVMs := c.dispatcherVMs(now)
+	c.setExclusions(&s.dispatcher, coordinatorVMs, now)
+	gangNumbers := map[*bookkeeper.Step]int{}
+	for _, p := range s.dispatcher.Plan(now, c.WallClock.Now(), steps, queues, vms) {
+		number := p.Task.NextRunNumber()
+		if step := p.Task.Step; step.Gang {
+			if gangNumbers[step] == 0 {
+				gangNumbers[step] = nextGangRunNumber(step)
+			}
+			number = gangNumbers[step]
+		}
+		c.addRun(p, coordinatorVMs[p.VM], number, now)
+	}
+	c.logBegunRackWaits()
+	return advisedSteps
+}
+
+// stepsToPlace returns the steps with waiting tasks that may start, all steps of advised queues with waiting tasks, and the configuration of the queues
+// of the first ones.
+func (c *Coordinator) stepsToPlace(now time.Time) (steps, advisedSteps []*bookkeeper.Step, queues map[string]dispatcher.Queue) {
+	s := &c.state
+	queues = map[string]dispatcher.Queue{}
 	s.jobs.VisitReadySteps(func(step *bookkeeper.Step) {
 		if _, restored := s.restoredJobs[step.Job]; restored && !s.runsKnown && !step.NotStartedByEarlierOwners() {
 			return
@@ -244,33 +269,16 @@
 		queues[step.Job.Queue] = q.Queue
 		steps = append(steps, step)
 	})
-	if len(steps)+len(advisedSteps) == 0 {
-		return nil
-	}
-	vms, coordinatorVMs := c.dispatcherVMs(now)
-	c.setExclusions(coordinatorVMs, now)
-	gangNumbers := map[*bookkeeper.Step]int{}
-	for _, p := range s.dispatcher.Plan(now, c.WallClock.Now(), steps, queues, vms) {
-		number := p.Task.NextRunNumber()
-		if step := p.Task.Step; step.Gang {
-			if gangNumbers[step] == 0 {
-				gangNumbers[step] = nextGangRunNumber(step)
-			}
-			number = gangNumbers[step]
-		}
-		c.addRun(p, coordinatorVMs[p.VM], number, now)
-	}
-	return advisedSteps
+	return steps, advisedSteps, queues
 }
 
-// setExclusions makes the dispatcher leave out VMs for which a step of an advised queue has no ticket. coordinatorVMs contains all VMs that the dispatcher
-// gets.
-func (c *Coordinator) setExclusions(coordinatorVMs map[*dispatcher.VM]*vm, now time.Time) {
-	c.state.dispatcher.Excludes = func(t *bookkeeper.Task, d *dispatcher.VM) bool {
-		return c.queueOf(t.Step.Job).Advised && c.state.inquirer.Ticket(stepName(t.Step), coordinatorVMs[d].endpoint(), now) == ""
+// setExclusions makes d leave out VMs for which a step of an advised queue has no ticket. coordinatorVMs contains all VMs that d gets.
+func (c *Coordinator) setExclusions(d *dispatcher.Dispatcher, coordinatorVMs map[*dispatcher.VM]*vm, now time.Time) {
+	d.Excludes = func(t *bookkeeper.Task, v *dispatcher.VM) bool {
+		return c.queueOf(t.Step.Job).Advised && c.state.inquirer.Ticket(stepName(t.Step), coordinatorVMs[v].endpoint(), now) == ""
 	}
-	c.state.dispatcher.Forbids = func(step *bookkeeper.Step, d *dispatcher.VM) bool {
-		return c.queueOf(step.Job).Advised && c.state.inquirer.Denied(stepName(step), coordinatorVMs[d].endpoint(), now)
+	d.Forbids = func(step *bookkeeper.Step, v *dispatcher.VM) bool {
+		return c.queueOf(step.Job).Advised && c.state.inquirer.Denied(stepName(step), coordinatorVMs[v].endpoint(), now)
 	}
 }
 
@@ -280,10 +288,7 @@
 	vms := make([]*dispatcher.VM, 0, len(c.state.vms))
 	coordinatorVMs := make(map[*dispatcher.VM]*vm, len(c.state.vms))
 	for _, v := range c.state.vms {
-		usable := c.usable(v, now)
-		v.Schedulable, v.SchedulableSoon, v.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
-		// The VM may accept starts again, so a starving task tries it again from time to time.
-		v.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
+		c.updateSchedulable(&v.VM, v, now)
 		vms = append(vms, &v.VM)
 		coordinatorVMs[&v.VM] = v
 	}
@@ -291,10 +296,18 @@
 	return vms, coordinatorVMs
 }
 
+// updateSchedulable updates d, which is the VM v or a copy of it, as to whether tasks may start there.
+func (c *Coordinator) updateSchedulable(d *dispatcher.VM, v *vm, now time.Time) {
+	usable := c.usable(v, now) && !v.awaitsConfirmation(now, c.confirmedAt())
+	d.Schedulable, d.SchedulableSoon, d.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
+	// The VM may accept starts again, so a starving task tries it again from time to time.
+	d.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
+}
+
 // usable reports whether tasks may start on the VM now if its circuit breaker allows it.
 func (c *Coordinator) usable(v *vm, now time.Time) bool {
 	if !v.recordStored || v.lastReportAt.IsZero() || !v.runsListed || v.reportedState != messenger.VMUp || now.Sub(v.lastReportAt) > maxReportAge || v.listAge > maxListAge ||
-		now.Before(v.unschedulableUntil) {
+		now.Before(v.unschedulableUntil) || v.Evacuated || c.state.evacuationsUnknown {
 		return false
 	}
 	// If the job of a run is unknown, the resources that the run takes are unknown too.
@@ -320,6 +333,7 @@
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
 		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, waited: waited, lostTime: waited, lostTimeAt: now, startedOverdue: p.Overdue,
+		offRack: p.OffRack,
 	}
 	if c.queueOf(t.Step.Job).Advised {
 		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
@@ -328,9 +342,17 @@
 	c.runsChanged(v)
 	v.breaker.Started(now)
 	c.state.runs[t] = x
-	c.Log.Info().Str("task", x.taskName).Int("run", number).Str("vm", v.Name).Dur("report-age", now.Sub(v.lastReportAt)).
+	c.startedForRack(p, v, now)
+	entry := c.Log.Info().Str("task", x.taskName).Int("run", number).Str("vm", v.Name).Dur("report-age", now.Sub(v.lastReportAt)).
 		Dur("waited", waited).Int64("serving", v.LongRunningProcessors()).Int64("filling", v.BestEffortProcessors()).
-		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("overdue", p.Overdue).Bool("strained", v.TargetMissed).Msg("run placed on a VM")
+		Int64("reserved", v.Reserved().MilliProcessors).Float64("pace-share", p.PaceShare).Bool("overdue", p.Overdue).Bool("strained", v.TargetMissed)
+	if t.Step.PreferredRack != "" || t.Step.SameRack {
+		entry.Bool("off-rack", p.OffRack).Str("rack-reason", p.OffRackReason)
+	}
+	if w := p.RackWait; w != nil {
+		entry.Str("rack", w.Rack).Dur("rack-waited", now.Sub(w.Since)).Dur("rack-expected", w.Decision.Expected)
+	}
+	entry.Msg("run placed on a VM")
 }
 
 // confirmRun records that a run certainly exists or has existed on its VM.
@@ -338,7 +360,7 @@
 	if !x.needed || x.confirmed {
 		return
 	}
-	x.confirmed = true
+	x.confirmed, x.confirmedAt = true, c.Clock.Now()
 	j := x.task.Step.Job
 	if !j.HasStarted() && j.FirstDue.IsZero() {
 		c.Meter.Observe("first-start", c.WallClock.Now().Sub(j.AcceptedAt))
@@ -417,7 +439,10 @@
 // waits again. Otherwise an earlier copy may have started the run or may still do so. The run is then stopped, unless a report lists it
 // before: the stop keeps all copies from taking effect later, so that the next report shows whether the run exists.
 func (c *Coordinator) handleRefusal(x *run, reason string, now time.Time) {
-	x.vm.startsRefusedAt = now
+	if reason != messenger.ReasonEvacuated {
+		// After the withdrawal, the VM accepts starts like any other.
+		x.vm.startsRefusedAt = now
+	}
 	c.Meter.Count("starts-refused")
 	c.Log.Info().Str("task", x.taskName).Int("run", x.number).Str("vm", x.vm.Name).Str("reason", reason).Int("sent", x.startsSent).
 		Str("generation", x.vm.agentGeneration).Msg("agent refused to start a run")
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -28,8 +28,8 @@
 	maxUnlistedTime = 2 * time.Second
 )
 
-// Report processes the report of an agent. The response says up to which sequence number run results are recorded, and whether the agent may
-// renew leases. The caller of Report must set the addresses of the owner and of all entries in the response.
+// Report processes the report of an agent. The response says up to which sequence number run results are recorded, whether the agent may
+// renew leases, and whether its data centre is evacuated. The caller of Report must set the addresses of the owner and of all entries in the response.
 func (c *Coordinator) Report(r messenger.Report) messenger.ReportResponse {
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
@@ -37,6 +37,15 @@
 	if !s.owning || r.Epoch > s.epoch {
 		return messenger.ReportResponse{Epoch: s.epoch}
 	}
+	c.updateEvacuations()
+	response := c.processReport(r)
+	response.Evacuated = c.evacuatedIn(r)
+	return response
+}
+
+// processReport processes the report of an agent to the owner. The caller holds the mutex.
+func (c *Coordinator) processReport(r messenger.Report) messenger.ReportResponse {
+	s := &c.state
 	granted := c.MayGrantLeases()
 	v, ok := s.vms[r.VM]
 	if !ok {
@@ -65,6 +74,7 @@
 	c.updatePaces(v, now)
 	c.runsChanged(v)
 	response.RecordedSequence = v.recordedSequenceFor(r.Incarnation)
+	response.OwnerConfirmed = v.refusesStarts(now) && c.confirmedAt().After(v.identifiedAt)
 	// Before the VM's runs are known, a grant could let them go on beyond the time after which their tasks start elsewhere. An agent renews no lease before
 	// it has a list, and the time after which its VM counts as lost begins with the last report that has one.
 	response.Granted = granted && r.Listed && (!r.UnknownRuns || s.runsKnown)
@@ -106,7 +116,7 @@
 // newVM returns a VM without runs.
 func (c *Coordinator) newVM(name string) *vm {
 	return &vm{
-		VM: dispatcher.VM{Name: name}, runs: map[string]*run{}, unrecordedSequences: map[int64]struct{}{},
+		VM: dispatcher.VM{Name: name, Evacuated: c.state.evacuations.Forbids("")}, runs: map[string]*run{}, unrecordedSequences: map[int64]struct{}{},
 		pacer: pacer.Pacer{MissTolerance: c.Limits.MissTolerance},
 	}
 }
@@ -131,7 +141,7 @@
 	}
 	if v.reportedState != r.State || v.lastReportAt.IsZero() || v.runsListed != r.Listed {
 		c.Log.Info().Str("vm", v.Name).Str("state", r.State).Str("before", v.reportedState).Bool("listed", r.Listed).Int64("life", r.Incarnation).
-			Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
+			Dur("starts-refused-for", r.StartsRefusedFor).Int("runs", len(r.Runs)).Uint64("report", r.Sequence).Msg("new state of VM reported")
 	}
 	v.reportSequence, v.reportSentMS, v.lastReportAt = r.Sequence, r.SentMS, now
 	if r.Listed || messenger.HasNoRuns(r.State) {
@@ -139,6 +149,14 @@
 	}
 	v.reportedState, v.runsListed, v.unknownRuns, v.remainingTime = r.State, r.Listed, r.UnknownRuns, r.RemainingTime
 	v.listAge, v.resultsMissing = r.ListAge, r.ResultsMissing
+	if r.DataCentre != "" {
+		v.dataCentre = r.DataCentre
+		v.Evacuated = c.state.evacuations.Forbids(v.dataCentre)
+	}
+	v.startsRefusedUntil = time.Time{}
+	if r.StartsRefusedFor > 0 {
+		v.startsRefusedUntil = now.Add(r.StartsRefusedFor)
+	}
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
 	}
@@ -335,7 +353,7 @@
 
 // adoptRun adds a reported run that this owner did not start, and stops the run if its task does not need it.
 func (c *Coordinator) adoptRun(v *vm, reported messenger.Run, now time.Time) *run {
-	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: 100, lostTimeAt: now}
+	x := &run{taskName: reported.Task, vm: v, number: reported.Number, expectedInReports: true, knownSince: now, startSentAt: now, pace: pacer.FullPercent, confirmedPace: unconfirmedPace, lostTimeAt: now}
 	if id, ok := job.ParseTask(reported.Task); ok {
 		x.task = c.state.jobs.Task(id)
 	}
@@ -372,6 +390,7 @@
 		c.state.interferenceModel.ForgetGroup(stepName(x.task.Step), x.task.Step.Program)
 	}
 	wasNeeded := x.needed
+	c.learnFromEnd(x, result, now)
 	c.Meter.Count("ends-" + result.Outcome)
 	if c.state.runs[x.task] == x {
 		delete(c.state.runs, x.task)
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -19,6 +20,8 @@
 	Capacity resource.Amount
 	// Schedulable reports whether tasks may start on the VM.
 	Schedulable bool
+	// Evacuated reports whether nothing may start on the VM because its data centre is evacuated. Schedulable and SchedulableSoon are then false.
+	Evacuated bool
 	// SchedulableSoon reports whether only a circuit breaker keeps tasks from starting on the VM, which allows a start within a bound. Such a VM may be held
 	// for a starving step: a gang would not start while other tasks use the probes of its VMs one by one.
 	SchedulableSoon bool
@@ -85,6 +88,18 @@
 	v.processorsUnusedByThrottled = processors
 }
 
+// ProcessorsUnusedByThrottled returns the processors that best-effort tasks leave unused because they are throttled, in thousandths.
+func (v *VM) ProcessorsUnusedByThrottled() int64 { return v.processorsUnusedByThrottled }
+
+// Clone returns a copy of the VM, to which runs can be added without a change of the original.
+func (v *VM) Clone() *VM {
+	clone := *v
+	clone.runsByStep, clone.victimsByProgram = maps.Clone(v.runsByStep), maps.Clone(v.victimsByProgram)
+	clone.bestEffortProcessorsByProgram = maps.Clone(v.bestEffortProcessorsByProgram)
+	clone.forgetPredictions()
+	return &clone
+}
+
 // Add adds a run of the task to the VM.
 func (v *VM) Add(t *bookkeeper.Task) { v.addRuns(t, 1) }
 
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"bamboohook/internal/fleet/limiter"
 	"bamboohook/internal/peer"
 	"bamboohook/platform"
 )
@@ -55,6 +56,10 @@
 	// configurationMargin is how much earlier than the platform permits an entry stops answering from a configuration of which it does not know
 	// whether it is the newest one. It covers the way of the request.
 	configurationMargin = 250 * time.Millisecond
+	// evacuationMargin is how much earlier than the platform permits an owner that has not read the operators' topic places nothing more. It covers the
+	// orders under way. minEvacuationAge is the lowest age from which that holds, since reads that are lost now and then take that long.
+	evacuationMargin = time.Second
+	minEvacuationAge = 5 * time.Second
 	// congestionMegabits and congestionProcessorSeconds are the data and the work that may wait on the link and the processors of a process
 	// before a message: the largest configuration, the records of the jobs and a burst of requests. Messages wait at most for
 	// maxCongestionTime, because a process that is slower than that must be replaced like one that has failed.
@@ -69,6 +74,8 @@
 		Agent platformAgentCommand `cmd:"" help:"Run an agent on the platform, beside an endpoint."`
 		Check platformCheckCommand `cmd:"" help:"Check a settings file of the platform and print what is used of it."`
 		Story jobLogCommand        `cmd:"" help:"Print what the logs of several processes tell of one job."`
+
+		Explain platformExplainCommand `cmd:"" help:"Show where a job would start now and why, without submitting it."`
 	}
 
 	platformEntryCommand struct {
@@ -155,12 +162,13 @@
 	}}
 }
 
-// serveHTTP serves HTTP requests on the listener until ctx is done. It then closes the listener and waits at most
+// serveHTTP serves HTTP requests on the listener, within the limits, until ctx is done. It then closes the listener and waits at most
 // shutdownTimeout for the requests in progress.
-func serveHTTP(ctx context.Context, h http.Handler, l net.Listener, shutdownTimeout time.Duration) error {
+func serveHTTP(ctx context.Context, h http.Handler, l net.Listener, limits *limiter.Limiter, shutdownTimeout time.Duration) error {
 	server := platform.NewServer(h)
+	limits.ConfigureServer(server, platform.BodyTimeout)
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(l) }()
+	go func() { serveErr <- server.Serve(limits.Listen(l)) }()
 	select {
 	case err := <-serveErr:
 		return eris.Wrap(err, "cli: HTTP server failed")
--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -35,9 +35,10 @@
 	a := &attendant.Attendant{
 		Meter:   m,
 		Address: settings.PeerAddress, Generation: rand.Text(), Endpoint: endpoint,
-		Reporter: &caller.Client{}, Clock: boottimer.Clock{}, Log: logger, LeaseDurations: attendant.LeaseDurations{Grant: grantDuration, Run: runLeaseDuration},
-		StopTimeout: settings.StopTimeout,
-		Seeds:       settings.Entries,
+		Reporter: &caller.Client{}, Clock: boottimer.Clock{}, Log: logger,
+		LeaseDurations: attendant.LeaseDurations{Grant: grantDuration, Run: runLeaseDuration, Longest: settings.MaxLease},
+		StopTimeout:    settings.StopTimeout,
+		Seeds:          settings.Entries,
 		DiscoverEntries: func(ctx context.Context) []string {
 			callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 			defer cancel()
@@ -62,12 +63,16 @@
 		defer cancel()
 		return a.HandleOrders(callCtx, o), nil
 	})
-	heartbeatServer := platform.HeartbeatServer{HeartbeatHandler: a, Log: logger}
+	limits := &budget{settings, logger, m}
+	heartbeatLimits, peerLimits, metricsLimits := limits.limiter("heartbeats", heartbeatShare), limits.limiter("peers", agentPeerShare), limits.limiter("metrics", metricsShare)
+	heartbeatServer := platform.HeartbeatServer{HeartbeatHandler: a, Memory: heartbeatLimits, Log: logger}
 	group, ctx := errgroup.WithContext(s.ctx)
 	group.Go(func() error { return a.Run(ctx) })
-	group.Go(func() error { return orderServer.Run(ctx, listeners[1]) })
-	group.Go(func() error { return serveHTTP(ctx, heartbeatServer.Handler(), listeners[0], shutdownMargin) })
-	group.Go(func() error { return serveHTTP(ctx, m, listeners[2], shutdownMargin) })
+	group.Go(func() error { return orderServer.Run(ctx, peerLimits.Listen(listeners[1])) })
+	group.Go(func() error {
+		return serveHTTP(ctx, heartbeatServer.Handler(), listeners[0], heartbeatLimits, shutdownMargin)
+	})
+	group.Go(func() error { return serveHTTP(ctx, m, listeners[2], metricsLimits, shutdownMargin) })
 	err = group.Wait()
 	logger.Info().Err(err).Msg("stopped")
 	return err
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -73,21 +73,30 @@
 		Source: store, PeerClient: peerClient, Clock: clock, Log: logger, Meter: e.meter, CongestionTime: congestionTime(settings),
 		MaxAge:                max(settings.ConfigTime-configurationMargin, 0),
 		PeersWithNewerVersion: e.elector.PeersWithNewerVersion, PeerConfirmation: e.elector.ConfigurationConfirmedAt,
-		OnStoreResponse: e.elector.RecordStoreContact, OnChange: e.applyRoutes,
+		PeersWithNewerEvacuations: e.elector.PeersWithNewerEvacuations,
+		OnStoreResponse:           e.elector.RecordStoreContact, OnChange: e.applyRoutes,
 	}
 	e.elector.ConfigurationState = e.subscriber.State
+	e.elector.EvacuationVersion = func() int64 {
+		set, _ := e.subscriber.Evacuations()
+		return set.VersionOrZero()
+	}
 	e.coordinator = &coordinator.Coordinator{
 		Agents: peerClient, Journal: e.committer, Clock: clock, WallClock: wallClock{}, Log: logger, Meter: e.meter, Address: settings.PeerAddress,
 		Leases: coordinator.Leases{Grant: grantDuration, Run: runLeaseDuration, Contact: storeContactTimeout, Drift: maxClockDrift},
 		Limits: coordinator.Limits{
 			Retention: settings.Retention, MissTolerance: settings.Tolerated, StopTimeout: settings.StopTimeout, RecordBytes: settings.MaxRecordBytes,
-			RequestBytes: settings.MaxRequestBytes,
+			RequestBytes: settings.MaxRequestBytes, RemoteFactor: settings.RemoteFactor,
 		},
 		MayGrantLeases: e.elector.MayGrantLeases,
 		MayShowStates:  e.elector.MayShowStates,
 		OwnedAt:        e.elector.OwnedAt,
-		OnOutdated:     e.subscriber.Check,
+		ConfirmedAt:    e.elector.ConfirmedAt, ConfirmOwnership: e.elector.ConfirmOwnership,
+		OnOutdated:  e.subscriber.Check,
+		Evacuations: e.subscriber.Evacuations,
 	}
+	e.coordinator.MaxEvacuationAge = maxEvacuationAge(settings)
+	e.subscriber.OnEvacuationChange = e.coordinator.WakePlanner
 	if settings.AdviceAddress != "" {
 		advisor := platform.NewAdvisor(settings.AdviceAddress)
 		advisor.Log = logger
@@ -114,7 +123,11 @@
 			return false
 		}
 	}
+	limits := &budget{e.settings, e.logger, e.meter}
+	callerLimits, peerLimits := limits.limiter("callers", callerShare), limits.limiter("peers", entryPeerShare)
+	readinessLimits, metricsLimits := limits.limiter("readiness", readinessShare), limits.limiter("metrics", metricsShare)
 	callerServer := platform.CallerServer{
+		Memory:         callerLimits,
 		RequestHandler: e.receptionist, Configuration: e.subscriber.Configuration, Refresh: e.subscriber.Refresh, Log: e.logger, Closing: isDraining,
 		Ready: func() bool {
 			owner, _ := e.elector.Owner()
@@ -132,12 +145,14 @@
 	group.Go(func() error { return e.subscriber.Run(workCtx) })
 	group.Go(func() error { return e.committer.Run(workCtx) })
 	group.Go(func() error { return e.coordinator.Run(workCtx) })
-	group.Go(func() error { return e.peerServer().Run(workCtx, listeners[2]) })
-	group.Go(func() error { return serveHTTP(workCtx, callerServer.ReadyHandler(), listeners[1], shutdownMargin) })
-	group.Go(func() error { return serveHTTP(workCtx, e.meter, listeners[3], shutdownMargin) })
+	group.Go(func() error { return e.peerServer().Run(workCtx, peerLimits.Listen(listeners[2])) })
+	group.Go(func() error {
+		return serveHTTP(workCtx, callerServer.ReadyHandler(), listeners[1], readinessLimits, shutdownMargin)
+	})
+	group.Go(func() error { return serveHTTP(workCtx, e.meter, listeners[3], metricsLimits, shutdownMargin) })
 	serveErr := make(chan error, 1)
 	go func() {
-		serveErr <- serveHTTP(servingCtx, callerServer.Handler(), listeners[0], e.settings.Grace-notReadyDuration-shutdownMargin-leaveTimeout)
+		serveErr <- serveHTTP(servingCtx, callerServer.Handler(), listeners[0], callerLimits, e.settings.Grace-notReadyDuration-shutdownMargin-leaveTimeout)
 	}()
 	select {
 	case <-workCtx.Done():
@@ -173,6 +188,14 @@
 	return min(time.Duration(seconds*float64(time.Second)), maxCongestionTime)
 }
 
+// maxEvacuationAge returns the age of the knowledge of evacuated data centres from which on the owner places nothing, or 0 if the platform sets no bound.
+func maxEvacuationAge(settings platform.Settings) time.Duration {
+	if settings.EvacuationTime == 0 {
+		return 0
+	}
+	return max(settings.EvacuationTime+settings.EvacuationStretch-evacuationMargin, minEvacuationAge)
+}
+
 // handleOwnershipGained starts the scheduling of jobs after this entry has become the owner. records holds the newest record of
 // each key in the store. Batch 1 of an epoch is the claim of the ownership, which the elector has already written, so the
 // committer continues with batch 2.
@@ -221,9 +244,10 @@
 		return e.handleReport(r), nil
 	})
 	s.Handle(messenger.MethodConfiguration, func(context.Context, json.RawMessage) (any, error) {
-		return e.subscriber.Configuration(), nil
+		evacuations, age := e.subscriber.Evacuations()
+		return messenger.Configuration{Configuration: e.subscriber.Configuration(), Evacuations: evacuations, EvacuationAge: max(age, 1)}, nil
 	})
-	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount} {
+	for _, method := range []string{messenger.MethodSubmit, messenger.MethodState, messenger.MethodCancel, messenger.MethodCount, messenger.MethodExplain} {
 		s.Handle(method, func(_ context.Context, params json.RawMessage) (any, error) {
 			var request messenger.JobRequest
 			if err := json.Unmarshal(params, &request); err != nil {
@@ -250,7 +274,7 @@
 	response.Owner, response.Epoch = e.elector.Owner()
 	response.Entries, response.EntryCount = e.elector.Contacts()
 	if response.Owner != e.settings.PeerAddress || response.Epoch != ownedEpoch {
-		response.Granted, response.Session, response.Outdated = false, 0, false
+		response.Granted, response.OwnerConfirmed, response.Session, response.Outdated, response.Evacuated = false, false, 0, false, false
 	}
 	return response
 }
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -60,6 +60,9 @@
 		FencingToken uint64
 		// RecordedSequence allows the endpoint to discard its run results up to this sequence number.
 		RecordedSequence int64
+		// KnownSequence is the sequence number of the last run result that the agent knows. The endpoint does not need it: it shows which numbers in
+		// the response are plausible, also if the request acknowledges nothing.
+		KnownSequence int64
 		// DeadlineMS is when the renewed leases expire, in milliseconds on the endpoint's clock. 0 renews no leases.
 		DeadlineMS int64
 		// MaxWait is how long the endpoint may delay its response until a run ends.
@@ -134,6 +137,8 @@
 		Grant time.Duration
 		// Run is the duration of a lease: how long a run continues after the last renewal.
 		Run time.Duration
+		// Longest is the longest lease that an endpoint gives, whatever it is asked for. 0 counts as Run.
+		Longest time.Duration
 	}
 
 	// Attendant is the agent of one endpoint. Set the exported fields before calling Run. Attendant is safe for concurrent use.
@@ -166,12 +171,15 @@
 		// epoch is the highest known epoch. owner is the address of its owner, or "" if that is unknown or did not respond.
 		epoch uint64
 		owner string
-		// startsRefusedUntil is when the agent may execute starts, although an entry has not responded when the process started.
+		// startsRefusedUntil is when the agent may execute starts although not all entries have responded since the process was started. It is the zero
+		// time if all have, or once the owner was confirmed.
 		startsRefusedUntil time.Time
 		// entries are the addresses of entries in the last response to a report or in the last result of DiscoverEntries.
 		entries []string
 		// discovering reports whether a call of DiscoverEntries is in progress.
 		discovering bool
+		// evacuated reports whether nothing may be started because the data centre is evacuated, according to the last response of an owner.
+		evacuated bool
 		// grantedUntil is when the agent must stop renewing leases, because its grant ends.
 		grantedUntil time.Time
 		// heartbeat is the newest heartbeat. deregistered reports whether the endpoint process that sent it has announced its
@@ -197,6 +205,9 @@
 		// lastLeaseAt is when a request that begins or renews leases was last sent, or when the agent was started: an earlier agent process may
 		// have sent one until then.
 		lastLeaseAt time.Time
+		// mayBeReplaced reports whether a list request has failed otherwise than by its timeout since the last response. The endpoint process may then be
+		// another one with the same ID, for whose clock the deadlines of leases are not meant.
+		mayBeReplaced bool
 		// silent reports whether all leases have expired without a response of the endpoint.
 		silent bool
 		// lastStartEndedAt is when the last call that starts a run ended, with or without an answer.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -163,7 +163,7 @@
 func (a *Attendant) list(ctx context.Context, wait time.Duration) error {
 	a.mutex.Lock()
 	sentAt := a.Clock.Now()
-	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait}
+	q := ListQuery{FencingToken: a.fencingToken, MaxWait: wait, KnownSequence: a.lastResultSequence}
 	if a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" {
 		q.EndpointID = a.heartbeat.EndpointID
 		// A request that the endpoint may delay could wait at the next process with the same ID, and make it discard results that it gets meanwhile.
@@ -174,7 +174,7 @@
 	if a.listed && sentAt.Before(a.grantedUntil) && !a.endpointOverdue(sentAt) {
 		q.DeadlineMS, a.lastLeaseAt = a.leaseDeadlineMS(sentAt), sentAt
 	}
-	d := a.beginDiscard(q, sentAt)
+	d := a.beginDiscard(q)
 	a.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+listTimeoutMargin)
 	defer cancel()
@@ -184,6 +184,11 @@
 	if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherIncarnation) {
 		a.endDiscard(d)
 	}
+	// A process that was suspended may read a response that arrived long ago. What it says is outdated.
+	late := err == nil && a.Clock.Now().Sub(sentAt) > wait+listTimeoutMargin
+	if late {
+		err = errUnanswered
+	}
 	if err != nil && ctx.Err() != nil {
 		// Another request has been answered, or the agent ends.
 		return err
@@ -191,13 +196,14 @@
 	defer a.notifyListEnded()
 	if err != nil {
 		a.handleListError(err, q)
-		if callCtx.Err() != nil {
+		a.mayBeReplaced = a.mayBeReplaced || !late && callCtx.Err() == nil
+		if late || callCtx.Err() != nil {
 			a.checkSilence(sentAt)
 			return errUnanswered
 		}
 		return err
 	}
-	a.lastResponseAt = a.Clock.Now()
+	a.lastResponseAt, a.mayBeReplaced = a.Clock.Now(), false
 	if a.silent {
 		a.silent = false
 		a.renewGeneration("the endpoint responds again after the leases of its runs have expired")
@@ -216,7 +222,7 @@
 // checkSilence handles a list request without a response that was sent at sentAt. If it was sent when all leases had expired, no run is at work at the
 // endpoint, and the agent reports so. The caller holds the mutex.
 func (a *Attendant) checkSilence(sentAt time.Time) {
-	if a.silent || !a.endpointOverdue(sentAt) || sentAt.Sub(a.lastLeaseAt) <= a.LeaseDurations.Run+leaseMargin {
+	if a.silent || !a.endpointOverdue(sentAt) || !a.leasesExpired(sentAt) {
 		return
 	}
 	a.Log.Warn().Int64("life", a.incarnation).Dur("silence", a.Clock.Now().Sub(a.lastResponseAt)).Dur("since-renewal", a.Clock.Now().Sub(a.lastLeaseAt)).
@@ -224,9 +230,19 @@
 	a.Meter.Count("endpoint-silent")
 	a.silent, a.listed = true, false
 	a.dropConfirmedRuns()
+	a.dropExpiredStarts(sentAt)
 	a.requestReport()
 }
 
+// leasesExpired reports whether all leases that the agent has asked for have certainly expired at the time. The caller holds the mutex.
+func (a *Attendant) leasesExpired(now time.Time) bool {
+	lease := a.LeaseDurations.Run
+	if a.mayBeReplaced {
+		lease = max(lease, a.LeaseDurations.Longest)
+	}
+	return now.Sub(a.lastLeaseAt) > lease+leaseMargin
+}
+
 // dropConfirmedRuns removes the runs that the endpoint has confirmed, after they have certainly ended. A start in progress may still reach the next
 // endpoint process. The caller holds the mutex.
 func (a *Attendant) dropConfirmedRuns() {
@@ -238,22 +254,34 @@
 	}
 }
 
-// discard is a list request that makes the endpoint process with the incarnation forget results. Without an answer at overdueAt, it may not have reached
-// that process yet.
-type discard struct {
-	token       uint64
-	incarnation int64
-	overdueAt   time.Time
+// dropExpiredStarts removes the runs whose starts were not answered, if the leases of all starts had expired at the time: the endpoint then executes none
+// of them any more. The owner knows how long one of them may reach the next endpoint process. The caller holds the mutex.
+func (a *Attendant) dropExpiredStarts(now time.Time) {
+	if !a.leasesExpired(now) {
+		return
+	}
+	for task, x := range a.runs {
+		if x.phase == phaseUnknown {
+			a.Log.Warn().Str("task", task).Int("run", x.Number).Int64("life", a.incarnation).Dur("since-renewal", now.Sub(a.lastLeaseAt)).
+				Msg("start without an answer counts as expired, since the endpoint does not respond")
+			delete(a.runs, task)
+			a.requestReport()
+		}
+	}
 }
 
+// discard is a list request that makes the endpoint forget results and has not been answered. It may not have reached the endpoint yet, and then reach the
+// next process with the same ID.
+type discard struct{ token uint64 }
+
 // beginDiscard adds the list request to the discards if it makes the endpoint forget results, and returns nil otherwise. The caller holds the mutex.
-func (a *Attendant) beginDiscard(q ListQuery, sentAt time.Time) *discard {
+func (a *Attendant) beginDiscard(q ListQuery) *discard {
 	if q.RecordedSequence == 0 {
 		return nil
 	}
-	d := &discard{q.FencingToken, a.incarnation, sentAt.Add(q.MaxWait + repeatInterval)}
+	d := &discard{q.FencingToken}
 	if len(a.discards) == maxDiscards {
-		// The oldest one has the earliest time, and the others of its token have no further effect.
+		// The others of its token have the same effect.
 		a.discards = slices.Delete(a.discards, 1, 2)
 	}
 	a.discards = append(a.discards, d)
@@ -265,13 +293,10 @@
 	a.discards = slices.DeleteFunc(a.discards, func(other *discard) bool { return other == d })
 }
 
-// fenceDiscards raises the token above those of list requests that make the endpoint forget results, if they are overdue or were sent to an earlier endpoint
-// process, so that no process carries them out after a start with that token. The caller holds the mutex.
+// fenceDiscards raises the token above those of unanswered list requests that make the endpoint forget results, so that no process carries them out after a
+// start with that token. The caller holds the mutex.
 func (a *Attendant) fenceDiscards() {
-	now := a.Clock.Now()
-	if slices.ContainsFunc(a.discards, func(d *discard) bool {
-		return d.token == a.fencingToken && (d.incarnation != a.incarnation || !now.Before(d.overdueAt))
-	}) {
+	if slices.ContainsFunc(a.discards, func(d *discard) bool { return d.token == a.fencingToken }) {
 		a.raiseToken()
 	}
 	a.discards = slices.DeleteFunc(a.discards, func(d *discard) bool { return d.token < a.fencingToken })
@@ -325,6 +350,9 @@
 		return
 	}
 	a.refusedConnections++
+	if a.refusedConnections >= maxRefusedConnections {
+		a.dropExpiredStarts(a.Clock.Now())
+	}
 	if a.refusedConnections != maxRefusedConnections {
 		return
 	}
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -39,6 +40,9 @@
 	// read.
 	followWait          = 500 * time.Millisecond
 	followTimeoutMargin = 800 * time.Millisecond
+	// confirmationTimeout bounds a read that confirms the ownership, apart from the time that congestion may take. Agents that wait for it accept
+	// starts after 2 s without it.
+	confirmationTimeout = 800 * time.Millisecond
 	// evidenceTimeout is how long the response of an entry without contact to the store proves that it has not claimed the ownership. It is
 	// shorter than the time for which the next owner waits for grants of this one.
 	evidenceTimeout = 1300 * time.Millisecond
@@ -54,6 +58,9 @@
 	maxContacts = 12
 )
 
+// errNotOwner reports that this process does not own the jobs in the requested epoch.
+var errNotOwner = eris.New("elector: another process may own the jobs")
+
 type (
 	// PeerClient is a client of the other entries.
 	PeerClient interface {
@@ -68,7 +75,8 @@
 		// Load returns the newest record of each key and the offset from which Follow returns the records after them.
 		Load(ctx context.Context) ([]storekeeper.Record, int64, error)
 		// Follow returns the records from the offset on and the offset after the last one. If there are none, it waits for them, at
-		// most for the given time. It returns storekeeper.ErrDeleted if records at the offset were deleted.
+		// most for the given time. It returns storekeeper.ErrDeleted if records at the offset were deleted. With another error it may return the
+		// first part of the records and the offset after them.
 		Follow(ctx context.Context, from int64, wait time.Duration) ([]storekeeper.Record, int64, error)
 		// RegisterEntry adds an entry to the list of entries in the store, or replaces it. RemoveEntry removes the entry with the
 		// address. Entries returns the list.
@@ -108,6 +116,8 @@
 		// ConfigurationState returns the version of this entry's configuration and the time since the store, asked by this entry, had no newer
 		// one. It may be nil.
 		ConfigurationState func() (version int64, age time.Duration)
+		// EvacuationVersion returns the version of the set of evacuated data centres that this entry knows, or 0. It may be nil.
+		EvacuationVersion func() int64
 		// OnOwnershipGained is called with the newest record of each key when this entry becomes the owner of an epoch.
 		// OnOwnershipLost is called when it ceases to be the owner, asynchronously and perhaps with a delay.
 		OnOwnershipGained func(epoch uint64, records []storekeeper.Record)
@@ -183,17 +193,28 @@
 // PeersWithNewerVersion returns the addresses of live entries that have a configuration with a version above the given one, at most
 // maxConfigurationPeers: those with the highest version first, and of these the ones with the highest weight.
 func (e *Elector) PeersWithNewerVersion(version int64) []string {
+	return e.peersAbove(version, func(p messenger.Ping) int64 { return p.Version })
+}
+
+// PeersWithNewerEvacuations returns the addresses of live entries that have a set of evacuated data centres with a version above the given one, like
+// PeersWithNewerVersion.
+func (e *Elector) PeersWithNewerEvacuations(version int64) []string {
+	return e.peersAbove(version, func(p messenger.Ping) int64 { return p.EvacuationVersion })
+}
+
+// peersAbove returns the addresses of live entries in whose last ping the number is above the given one, as described at PeersWithNewerVersion.
+func (e *Elector) peersAbove(limit int64, number func(p messenger.Ping) int64) []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.Clock.Now()
 	var newer []*peer
 	for _, p := range e.peers {
-		if p.lastPing.Version > version && e.isLive(p, now) {
+		if number(p.lastPing) > limit && e.isLive(p, now) {
 			newer = append(newer, p)
 		}
 	}
 	slices.SortFunc(newer, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(b.lastPing.Version, a.lastPing.Version), cmp.Compare(b.weight, a.weight), cmp.Compare(a.precedence, b.precedence))
+		return cmp.Or(cmp.Compare(number(b.lastPing), number(a.lastPing)), cmp.Compare(b.weight, a.weight), cmp.Compare(a.precedence, b.precedence))
 	})
 	var addresses []string
 	for _, p := range newer[:min(len(newer), maxConfigurationPeers)] {
@@ -373,6 +394,46 @@
 	return e.ownerContactAt
 }
 
+// ConfirmedAt returns when the last read or append was sent to which the store has responded and which shows that this process was the owner of the
+// epoch. It returns the zero time if this process is not the owner of the epoch.
+func (e *Elector) ConfirmedAt(epoch uint64) time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.isOwner || e.epoch != epoch {
+		return time.Time{}
+	}
+	return e.ownerContactAt
+}
+
+// ConfirmOwnership asks the store at once whether a later claim than that of this process exists. The read in progress does not tell: the store may
+// delay its response, which counts from the sending of the request. If there is no such claim, ConfirmedAt returns the time of this request or a later one.
+// ConfirmOwnership fails if the store does not respond in time or if this process is not the owner of the epoch.
+func (e *Elector) ConfirmOwnership(ctx context.Context, epoch uint64) error {
+	e.mutex.Lock()
+	offset, isOwner := e.storeOffset, e.isOwner && e.epoch == epoch
+	e.mutex.Unlock()
+	if !isOwner {
+		return errNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout+e.CongestionTime)
+	defer cancel()
+	sentAt := e.Clock.Now()
+	records, _, err := e.Store.Follow(ctx, offset, 0)
+	if err != nil {
+		return eris.Wrap(err, "elector: cannot confirm the ownership")
+	}
+	newest := newestClaim(records)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.recordStoreContact()
+	e.observeEpoch(newest.Epoch, newest.Address)
+	if !e.isOwner || e.epoch != epoch {
+		return errNotOwner
+	}
+	e.ownerContactAt = latest(e.ownerContactAt, sentAt)
+	return nil
+}
+
 // othersDisconnected reports whether every other entry that may run has told in a response to a ping which was sent after the given time that it cannot
 // have claimed the ownership, because it had no contact with the store. A silent entry may have claimed it, also if it was down before and has started
 // again since. So may an entry that refuses connections, because a partition may refuse them in its place. Only entries that had been removed from the
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"bamboohook/internal/batch/job"
+	"bamboohook/internal/fleet/evacuation"
+	"bamboohook/internal/fleet/routetable"
 	"bamboohook/resource"
 )
 
@@ -17,6 +19,7 @@
 	MethodState         = "state"
 	MethodCancel        = "cancel"
 	MethodCount         = "count"
+	MethodExplain       = "explain"
 	MethodConfiguration = "configuration"
 )
 
@@ -68,6 +71,9 @@
 	StartUnknown = "unclear"
 )
 
+// ReasonEvacuated is the reason with which an agent refuses a start because its data centre is evacuated.
+const ReasonEvacuated = "evacuated"
+
 type (
 	// Report is the state of a VM and its endpoint, which the agent on the VM sends to the owner.
 	Report struct {
@@ -101,6 +107,11 @@
 		// ResultsMissing reports that the endpoint may hold more run results than Results contains, because it lists only a limited number at a
 		// time. A run that is in neither list may then have ended with any outcome.
 		ResultsMissing bool `json:"results-missing,omitempty"`
+		// Evacuated is the one of the last response that the agent process has used.
+		Evacuated bool `json:"evacuated,omitempty"`
+		// StartsRefusedFor is how much longer the agent process refuses starts because a former owner may not be aware of its successor. 0 means
+		// that it does not refuse them for that reason.
+		StartsRefusedFor time.Duration `json:"starts-refused-for,omitempty"`
 		// RemainingTime is the minimum time that a draining VM keeps running.
 		RemainingTime time.Duration `json:"remaining,omitempty"`
 		Runs          []Run         `json:"runs,omitempty"`
@@ -157,9 +168,14 @@
 		// Outdated means that a later process of the VM has received a number, so that the sender must act like a new process.
 		Session  uint64 `json:"session,omitempty"`
 		Outdated bool   `json:"outdated,omitempty"`
+		// Evacuated means that nothing may be started in the data centre of the report. Only the owner's response says so.
+		Evacuated bool `json:"evacuated,omitempty"`
 		// Granted permits the agent to renew the leases of runs for a limited time, which both sides are configured with. The time
 		// counts from the sending of the report.
 		Granted bool `json:"granted"`
+		// OwnerConfirmed reports that the store has shown, in response to a request that was sent after the first report of this agent process had
+		// arrived, that the owner had no successor. So no earlier process of the VM has reported to one.
+		OwnerConfirmed bool `json:"owner-confirmed,omitempty"`
 		// Incarnation is copied from the report. RecordedSequence is the sequence number of the last run result of that endpoint
 		// process that the owner has recorded, so that it need not be reported again.
 		Incarnation      int64 `json:"life"`
@@ -179,6 +195,8 @@
 		Owner       string `json:"owner"`
 		Session     uint64 `json:"session,omitempty"`
 		Incarnation int64  `json:"life"`
+		// OwnerConfirmed is that of a ReportResponse. It is only set if the last report says that the agent process refuses starts.
+		OwnerConfirmed bool `json:"owner-confirmed,omitempty"`
 		// ReportSentMS is SentMS of the report on which the owner has based the orders. The agent rejects starts based on an old
 		// report.
 		ReportSentMS int64   `json:"based"`
@@ -262,6 +280,8 @@
 		// ConfigurationAge is the time since the store certainly had no newer configuration than that, as far as the sender knows. 0 means that it does
 		// not tell.
 		ConfigurationAge time.Duration `json:"configuration-age,omitempty"`
+		// EvacuationVersion is the version of the sender's set of evacuated data centres, or 0 if the sender knows none.
+		EvacuationVersion int64 `json:"evacuation-version,omitempty"`
 		// Weight is the priority of the entry in the election of an owner. It increases with the entry's processor share and
 		// bandwidth.
 		Weight float64 `json:"weight"`
@@ -275,6 +295,14 @@
 		Peers []RelayedEntry `json:"peers,omitempty"`
 	}
 
+	// Configuration is what an entry knows of the operators' topic. The configuration is nil if the entry has none. Evacuations is nil if the entry does
+	// not know the evacuated data centres, and EvacuationAge the time since the store certainly had no later record about them.
+	Configuration struct {
+		*routetable.Configuration
+		Evacuations   *evacuation.Set `json:"evacuations,omitempty"`
+		EvacuationAge time.Duration   `json:"evacuation-age,omitempty"`
+	}
+
 	// RelayedEntry is what the sender of a ping knows about another entry.
 	RelayedEntry struct {
 		Address string  `json:"address"`
@@ -314,6 +342,62 @@
 		// MayHaveEffect reports, with OutcomeNotOwner, that the request may have been executed or may still be: the sender of the
 		// response was the owner when it received the request, or has passed the request on without a response.
 		MayHaveEffect bool `json:"may-have-effect,omitempty"`
+		// Explanation is the response to MethodExplain.
+		Explanation *Explanation `json:"explanation,omitempty"`
+	}
+
+	// Explanation tells where the tasks of a job would start now. Nothing of the job is accepted.
+	Explanation struct {
+		Queue   string `json:"queue"`
+		Service string `json:"service"`
+		// Epoch is that of the owner, Version that of its configuration.
+		Epoch   uint64 `json:"epoch"`
+		Version int64  `json:"version"`
+		// VMs is the number of the service's VMs, UsableVMs that of those on which tasks may start now.
+		VMs       int           `json:"vms"`
+		UsableVMs int           `json:"usable-vms"`
+		Steps     []StepOutlook `json:"steps"`
+		// OmittedPlaces is the number of places and waits that are left out because there are too many.
+		OmittedPlaces int `json:"omitted-places,omitempty"`
+	}
+
+	// StepOutlook tells where the tasks of one step would start now.
+	StepOutlook struct {
+		Step  int `json:"step"`
+		Tasks int `json:"tasks"`
+		// After holds the steps that must be done before. If there are any, no task of the step would start now.
+		After  []int         `json:"after,omitempty"`
+		Places []Place       `json:"places,omitempty"`
+		Waits  []RackOutlook `json:"waits,omitempty"`
+		// NotStarted is the number of tasks that would start nowhere now. Refusals holds the numbers of VMs by the reasons why one of these must not
+		// start there.
+		NotStarted int            `json:"not-started,omitempty"`
+		Refusals   map[string]int `json:"refusals,omitempty"`
+	}
+
+	// Place is a VM on which tasks of a step would start.
+	Place struct {
+		VM    string `json:"vm"`
+		Rack  string `json:"rack,omitempty"`
+		Tasks int    `json:"tasks"`
+		// ReportAgeMS is the age of the last report of the VM, in milliseconds.
+		ReportAgeMS int64 `json:"report-age-ms"`
+		// OffRack reports whether the VM is off the preferred rack, OffRackReason why the task does not wait for that one.
+		OffRack       bool   `json:"off-rack,omitempty"`
+		OffRackReason string `json:"off-rack-reason,omitempty"`
+		// PaceShare is the share of the full pace at which the task could work.
+		PaceShare float64 `json:"pace-share"`
+	}
+
+	// RackOutlook is the wait of a task, or of a whole gang, for its preferred rack. Others have precedence for Ahead places there. The times are in
+	// milliseconds.
+	RackOutlook struct {
+		Rack       string `json:"rack"`
+		Tasks      int    `json:"tasks"`
+		Ahead      int    `json:"ahead"`
+		ExpectedMS int64  `json:"expected-ms"`
+		LimitMS    int64  `json:"limit-ms"`
+		SavedMS    int64  `json:"saved-ms"`
 	}
 )
 
