Evacuate a VM also if only the agent's settings name the data centre

The owner knew the data centre of a VM from the heartbeats of its endpoint alone. A heartbeat with another or no name is accepted, and one with another name would have permitted starts in an evacuated data centre. Reports now also contain the data centre of the agent's settings if it differs, and either name is enough.

Run at a load of 25 to 38 on 7 processors: TestEvacuation of the agent, all tests of internal/cli and internal/batch/coordinator, and the five evacuations of tests/platform pass (69 s).

--- a/internal/batch/coordinator/evacuation.go
+++ b/internal/batch/coordinator/evacuation.go
@@ -46,7 +46,7 @@
 	begun, ended := set.Compare(s.evacuations)
 	s.evacuations = set
 	for _, v := range s.vms {
-		v.Evacuated = set.Forbids(v.dataCentre)
+		v.Evacuated = c.isEvacuated(v.dataCentre, v.agentDataCentre)
 	}
 	if len(begun)+len(ended) > 0 {
 		c.clearEvacuationMeter(ended)
@@ -62,10 +62,20 @@
 	if v, ok := s.vms[r.VM]; ok && dataCentre == "" {
 		dataCentre = v.dataCentre
 	}
-	if s.evacuations == nil || dataCentre == "" && r.EndpointID == "" {
+	if s.evacuations == nil || dataCentre == "" && r.AgentDataCentre == "" && r.EndpointID == "" {
 		return r.Evacuated
 	}
-	return s.evacuations.Forbids(dataCentre)
+	return c.isEvacuated(dataCentre, r.AgentDataCentre)
+}
+
+// isEvacuated reports whether nothing may start on a VM that is in the data centre according to its endpoint, and in agentDataCentre, unless that is empty,
+// according to the settings of its agent. One heartbeat with a wrong name must not permit starts, so either is enough.
+func (c *Coordinator) isEvacuated(dataCentre, agentDataCentre string) bool {
+	set := c.state.evacuations
+	if dataCentre == "" {
+		return set.Forbids(agentDataCentre)
+	}
+	return set.Forbids(dataCentre) || set.Contains(agentDataCentre)
 }
 
 // withdrawStarts withdraws the starts in evacuated data centres that the agents have not confirmed. A start that was never sent has certainly had no effect, so
--- a/internal/batch/coordinator/evacuation_test.go
+++ b/internal/batch/coordinator/evacuation_test.go
@@ -211,6 +211,29 @@
 		Expect(cluster.countRuns()).To(HaveLen(3))
 	})
 
+	// Guards against starts because of a heartbeat that names no data centre or another one.
+	for name, c := range map[string]struct {
+		endpoint, agent string
+		evacuated       bool
+	}{
+		"another name of the endpoint":               {"odd", "a", true},
+		"no name of the endpoint":                    {"", "a", true},
+		"another name in the settings":               {"a", "odd", true},
+		"neither name is that of the data centre":    {"b", "odd", false},
+		"no name of the endpoint, the settings' one": {"", "b", false},
+	} {
+		It("starts nothing on a VM of which either the endpoint or the settings name the data centre: "+name, func() {
+			cluster := newTestCluster(1)
+			cluster.agents["vm-0"].dataCentre, cluster.agents["vm-0"].agentDataCentre = c.endpoint, c.agent
+			cluster.evacuate("a")
+			cluster.simulate(time.Second)
+			Expect(cluster.agents["vm-0"].evacuated).To(Equal(c.evacuated))
+			submitJob(cluster, job.Job{ID: "j", Occurrences: 1, Steps: []job.Step{wholeVM(1)}})
+			cluster.simulate(time.Second)
+			Expect(len(cluster.agents["vm-0"].runs) == 0).To(Equal(c.evacuated))
+		})
+	}
+
 	// Guards against a start that is repeated after the request, against a second run of its task, and against a run that is stopped although it exists.
 	for name, c := range map[string]struct {
 		// executed reports whether the agent has carried out the start, whose response is lost.
--- a/internal/batch/coordinator/fakes_test.go
+++ b/internal/batch/coordinator/fakes_test.go
@@ -136,8 +136,10 @@
 	runsUnlisted  bool
 	dropResponses bool
 	// dataCentre is the data centre in the reports. evacuated is whether the last response said that it is evacuated. The agent refuses starts then.
-	dataCentre string
-	evacuated  bool
+	// agentDataCentre is that of the agent's settings.
+	dataCentre      string
+	agentDataCentre string
+	evacuated       bool
 	// startOrders holds the tasks of all starts that the owner has sent, whatever the agent did, and stopOrders those of all stops.
 	startOrders []string
 	stopOrders  []string
@@ -338,7 +340,7 @@
 	a.reportSequence++
 	r := messenger.Report{
 		VM: a.name, Generation: a.generation, Sequence: a.reportSequence, Epoch: a.epoch, Session: a.session, Incarnation: a.incarnation, Listed: !a.runsUnlisted,
-		EndpointID: "i-" + a.name, Service: "s", DataCentre: a.dataCentre, Evacuated: a.evacuated,
+		EndpointID: "i-" + a.name, Service: "s", DataCentre: a.dataCentre, AgentDataCentre: a.agentDataCentre, Evacuated: a.evacuated,
 		Rack: "r", Labels: a.labels, Capacity: resource.Amount{MilliProcessors: 4000, MemoryBytes: 4000}, State: a.state, Results: slices.Clone(a.results),
 	}
 	r.UnnamedRuns, r.UnknownRuns = a.unnamed, a.unknownRuns
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -140,7 +140,9 @@
 		incarnation    int64
 		endpointID     string
 		// dataCentre is the last reported data centre, or "" before one was reported.
-		dataCentre string
+		// agentDataCentre is the one in the settings of the agent, unless that is the same.
+		dataCentre      string
+		agentDataCentre string
 		// reportedState is the state of the VM in the last report.
 		reportedState string
 		// runsListed reports whether the last report listed all runs of the endpoint process. unknownRuns reports that a row without a readable task
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -150,8 +150,9 @@
 	v.listAge, v.resultsMissing = r.ListAge, r.ResultsMissing
 	if r.DataCentre != "" {
 		v.dataCentre = r.DataCentre
-		v.Evacuated = c.state.evacuations.Forbids(v.dataCentre)
 	}
+	v.agentDataCentre = r.AgentDataCentre
+	v.Evacuated = c.isEvacuated(v.dataCentre, v.agentDataCentre)
 	if r.EndpointID != "" {
 		v.endpointID, v.Service, v.Rack, v.Labels, v.Capacity = r.EndpointID, r.Service, r.Rack, r.Labels, r.Capacity
 	}
--- a/internal/cli/platform_agent.go
+++ b/internal/cli/platform_agent.go
@@ -36,8 +36,8 @@
 		Meter:   m,
 		Address: settings.PeerAddress, Generation: rand.Text(), Endpoint: endpoint,
 		Reporter: &caller.Client{}, Clock: boottimer.Clock{}, Log: logger, LeaseDurations: attendant.LeaseDurations{Grant: grantDuration, Run: runLeaseDuration},
-		StopTimeout: settings.StopTimeout,
-		Seeds:       settings.Entries,
+		StopTimeout: settings.StopTimeout, DataCentre: settings.DataCentre,
+		Seeds: settings.Entries,
 		DiscoverEntries: func(ctx context.Context) []string {
 			callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 			defer cancel()
--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -283,6 +283,9 @@
 			r.State, r.RemainingTime = messenger.VMDraining, h.RemainingTime
 		}
 	}
+	if a.DataCentre != r.DataCentre {
+		r.AgentDataCentre = a.DataCentre
+	}
 	if a.refusedConnections >= maxRefusedConnections {
 		r.State = messenger.VMNotListening
 	} else if a.silent {
--- a/internal/fleet/attendant/evacuation_test.go
+++ b/internal/fleet/attendant/evacuation_test.go
@@ -30,7 +30,7 @@
 // startAgent starts an agent process and returns once it accepts starts.
 func startAgent(e *endpoint, o *reporter, generation string) *evacuationAgent {
 	a := &evacuationAgent{endpoint: e, owner: o, Attendant: &attendant.Attendant{
-		Address: "vm", Generation: generation, Endpoint: e, Reporter: o, Clock: virtualClock{}, Log: zerolog.Nop(), StopTimeout: 500 * time.Millisecond,
+		Address: "vm", Generation: generation, Endpoint: e, Reporter: o, Clock: virtualClock{}, Log: zerolog.Nop(), StopTimeout: 500 * time.Millisecond, DataCentre: "zone-1",
 		LeaseDurations: attendant.LeaseDurations{Grant: 2 * time.Second, Run: 4 * time.Second}, Seeds: []string{"owner"},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -196,6 +196,18 @@
 				t.Errorf("%d runs were started", started)
 			}
 		},
+		"reports the data centre of its settings beside another one in a heartbeat, and only then": func(t *testing.T, a *evacuationAgent) {
+			if r := a.owner.report(); r.DataCentre != "zone-1" || r.AgentDataCentre != "" {
+				t.Errorf("reported %q and %q", r.DataCentre, r.AgentDataCentre)
+			}
+			for n, name := range []string{"odd", ""} {
+				a.HandleHeartbeat(attendant.Heartbeat{EndpointID: "e", Incarnation: a.endpoint.incarnation, Sequence: int64(n) + 2, Service: "s", DataCentre: name})
+				time.Sleep(learnTime)
+				if r := a.owner.report(); r.DataCentre != name || r.AgentDataCentre != "zone-1" {
+					t.Errorf("reported %q and %q", r.DataCentre, r.AgentDataCentre)
+				}
+			}
+		},
 		"keeps the request while another entry than the owner responds, and takes over what the next owner says": func(t *testing.T, a *evacuationAgent) {
 			a.setEvacuated(true)
 			time.Sleep(learnTime)
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -147,6 +147,8 @@
 		Log            zerolog.Logger
 		Meter          *meter.Meter
 		LeaseDurations LeaseDurations
+		// DataCentre is the data centre of the VM according to the settings, or "".
+		DataCentre string
 		// StopTimeout is the longest time between the confirmation of a stop by the endpoint and the end of the run.
 		StopTimeout time.Duration
 		// Seeds are the addresses of some entries. DiscoverEntries returns the addresses of more entries. The agent calls it,
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -89,13 +89,15 @@
 		// SentMS is when the report was sent, in milliseconds since the start of the agent process.
 		SentMS int64 `json:"sent"`
 		// Incarnation identifies the endpoint process by its start time in Unix milliseconds. It is 0 if unknown.
-		Incarnation int64           `json:"life"`
-		EndpointID  string          `json:"endpoint,omitempty"`
-		Service     string          `json:"service,omitempty"`
-		DataCentre  string          `json:"data-centre,omitempty"`
-		Rack        string          `json:"rack,omitempty"`
-		Labels      []string        `json:"labels,omitempty"`
-		Capacity    resource.Amount `json:"capacity"`
+		Incarnation int64  `json:"life"`
+		EndpointID  string `json:"endpoint,omitempty"`
+		Service     string `json:"service,omitempty"`
+		DataCentre  string `json:"data-centre,omitempty"`
+		// AgentDataCentre is the data centre in the settings of the agent, unless that is DataCentre, which the endpoint has named.
+		AgentDataCentre string          `json:"agent-data-centre,omitempty"`
+		Rack            string          `json:"rack,omitempty"`
+		Labels          []string        `json:"labels,omitempty"`
+		Capacity        resource.Amount `json:"capacity"`
 		// State is VMUp, VMDraining, VMUnknown, VMNotListening or VMSilent.
 		State string `json:"state"`
 		// Listed reports whether Runs is complete: the current endpoint process has listed its runs to the agent, and no start of an earlier
--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -357,8 +357,8 @@
 	for s := range seeds {
 		seeds[s] = fmt.Sprintf("%q", address(i.ip(1, s+1), portControl))
 	}
-	fmt.Fprintf(&b, "NodeName = %q\nRole = %q\nIp = %q\nZone = \"z\"\nInternalPorts = [%d,%d]\nSeedNodes = [%s]\n",
-		fmt.Sprintf("%s-%d", role, n), role, ip, portInternal, portInternal+internalPortCount, strings.Join(seeds, ","))
+	fmt.Fprintf(&b, "NodeName = %q\nRole = %q\nIp = %q\nZone = %q\nInternalPorts = [%d,%d]\nSeedNodes = [%s]\n",
+		fmt.Sprintf("%s-%d", role, n), role, ip, i.DataCentre(n), portInternal, portInternal+internalPortCount, strings.Join(seeds, ","))
 	if role == "agent" {
 		fmt.Fprintf(&b, "app = %q\nService = %q\n", address(ip, portEndpoint), RouteService)
 	}
