--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -151,8 +151,9 @@
 	v.listAge, v.resultsMissing = r.ListAge, r.ResultsMissing
 	if r.DataCentre != "" {
 		v.dataCentre = r.DataCentre
-		v.Evacuated = c.state.evacuations.Forbids(v.dataCentre)
 	}
+	v.agentDataCentre = r.AgentDataCentre
+	v.Evacuated = c.isEvacuated(v.dataCentre, v.agentDataCentre)
 	v.startsRefusedUntil = time.Time{}
 	if r.StartsRefusedFor > 0 {
 		v.startsRefusedUntil = now.Add(r.StartsRefusedFor)
