Pace best-effort tasks as before while processors are not scarce

Without a shortage all tasks had the same value for each processor second, so the pacer throttled those of the programs that interfere most first, whatever their sizes were. Before this release it throttled the tasks that add most utilisation first. Without a shortage the tasks now have no weight, which gives the former order.

--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -125,11 +125,12 @@
 	return tasks
 }
 
-// valueOf returns what a processor second of work on the step is worth while best-effort work is short of processors, and 1 otherwise.
+// valueOf returns what a processor second of work on the step is worth while best-effort work is short of processors. Otherwise it returns 0, so that paces do not
+// depend on it.
 func (c *Coordinator) valueOf(step *bookkeeper.Step) float64 {
 	j := step.Job
 	if !c.state.assessor.Short() {
-		return 1
+		return 0
 	}
 	prospect := dispatcher.Prospect(c.WallClock.Now(), step, c.queueOf(j).Queue)
 	return c.state.appraiser.ValuePerProcessorSecond(j.Queue, j.Work(), step.RemainingWork(), prospect)
