End runs without a confirmed start on VMs whose endpoint is silent

Cause: a start that got no response while the link to the agent was cut, and an endpoint that was then silent for good: the agent refuses all orders while its endpoint is silent, so the stop that was to settle the start was never confirmed, and the reports kept the VM from counting as lost. The task never started again.

--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -311,6 +311,10 @@
 		if r.ResultsMissing && r.Listed {
 			break
 		}
+		if r.State == messenger.VMSilent && x.startsSent > 0 && now.Sub(x.startSentAt) > c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
+			// Neither the agent, which refuses all orders now, nor the endpoint can carry out the start any more. The stop of the run would never be confirmed.
+			x.expectedInReports, x.visibleFrom = true, 0
+		}
 		if x.mayReachNextProcess && (!r.Listed || messenger.HasNoRuns(r.State)) && now.Sub(x.startSentAt) <= c.Leases.Grant+c.Leases.Run+c.Leases.Drift {
 			continue
 		}
