Go on with old knowledge of evacuations while the store responds to nobody

Cause: with EvacuationMs in the settings, an owner that had not read the operators' topic for 10 s placed nothing on any VM, also in an outage of the store in which it may go on, because all other entries are cut off from the store as well. Operators can request nothing then.

Change: the age only counts while the store responds to the owner's other calls.

Result: the new case in evacuation_test.go; all cases of owners with unknown and old knowledge are unchanged and green.

--- a/internal/batch/coordinator/evacuation.go
+++ b/internal/batch/coordinator/evacuation.go
@@ -30,7 +30,9 @@
 	}
 	s := &c.state
 	set, age := c.Evacuations()
-	if unknown := c.MaxEvacuationAge > 0 && (set == nil || age > c.MaxEvacuationAge); unknown != s.evacuationsUnknown {
+	// While the store answers nobody, operators cannot request anything, and an owner that alone is cut off from it may not let agents renew leases.
+	storeResponds := c.Clock.Now().Sub(c.OwnedAt()) <= c.Leases.Contact
+	if unknown := c.MaxEvacuationAge > 0 && (set == nil || age > c.MaxEvacuationAge && storeResponds); unknown != s.evacuationsUnknown {
 		s.evacuationsUnknown = unknown
 		event := c.Log.Info()
 		if unknown {
--- a/internal/batch/coordinator/evacuation_test.go
+++ b/internal/batch/coordinator/evacuation_test.go
@@ -160,6 +160,20 @@
 		})
 	}
 
+	// Guards against an outage of the store, in which operators cannot request anything, that stops all starts although leases may be renewed.
+	It("goes on with old knowledge while the store responds to nobody", func() {
+		cluster := newSplitCluster(2)
+		cluster.evacuate()
+		cluster.maxEvacuationAge, cluster.evacuationAge = 11*time.Second, 12*time.Second
+		cluster.takeOver()
+		submitJob(cluster, job.Job{ID: "j", Occurrences: 1, Steps: []job.Step{{TaskCount: 2, Size: taskSize(4000)}}})
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.countRuns()).To(BeEmpty())
+		cluster.timeSinceOwned = 3 * time.Second
+		cluster.simulate(2 * time.Second)
+		Expect(cluster.countRuns()).To(HaveLen(2))
+	})
+
 	// Guards against agents that accept starts again because a new owner does not know of the request yet.
 	It("lets the agents go on refusing starts while a new owner does not know the set", func() {
 		cluster := newSplitCluster(2)
