Let only tasks for the same room delay long-running tasks, and bound that delay

Cause: any waiting task with a reservation, also of another service, too large for all VMs or for an evacuated data centre, kept long-running tasks from going first, and those of steps with runs without a bound.

--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -86,8 +86,9 @@
 		// held contains the VMs on which the current plan keeps room for the step heldFor, or none if that is nil.
 		held    map[*VM]bool
 		heldFor *bookkeeper.Step
-		// shortTasksWaiting is the highest priority of the waiting tasks that have a reservation and end, as highestPriorityOfShortTasks returns it.
-		shortTasksWaiting int
+		// shortTasksWaiting holds, by service, the highest priority of the waiting tasks that have a reservation and end, as highestPrioritiesOfShortTasks
+		// returns it.
+		shortTasksWaiting map[string]int
 		// planNumber is the number of the current plan.
 		planNumber uint64
 		// The next fields hold the processors of all VMs, in thousandths, if processorsCounted is set: those that are reserved, those that best-effort
@@ -112,6 +113,7 @@
 	// sortedStep is a step with waiting tasks and the criteria by which the steps are sorted.
 	sortedStep struct {
 		step       *bookkeeper.Step
+		service    string
 		priority   int
 		valueClass int
 		// remainingWork is the estimated work of the unfinished tasks in the step's occurrence, in processor seconds.
@@ -166,7 +168,7 @@
 		v.startedStep = nil
 	}
 	sorted := sortSteps(wallTime, steps, queues)
-	d.shortTasksWaiting = highestPriorityOfShortTasks(now, sorted)
+	d.shortTasksWaiting = d.highestPrioritiesOfShortTasks(now, sorted)
 	placements := d.placeStarving(now, sorted, queues, vms)
 	placedFirst := map[*bookkeeper.Task]bool{}
 	for _, p := range placements {
@@ -250,7 +252,7 @@
 		if !ok {
 			continue
 		}
-		sorted = append(sorted, sortedStep{s, q.Priority, valueClass(wallTime, s, q), s.RemainingWork(), s.Job.AcceptedAt})
+		sorted = append(sorted, sortedStep{s, q.Service, q.Priority, valueClass(wallTime, s, q), s.RemainingWork(), s.Job.AcceptedAt})
 	}
 	slices.SortStableFunc(sorted, func(x, y sortedStep) int {
 		return cmp.Or(
--- a/internal/batch/dispatcher/starvation.go
+++ b/internal/batch/dispatcher/starvation.go
@@ -17,6 +17,10 @@
 // from the beginning, and it gets no place of its own while shorter tasks fill all that becomes free.
 const longRunningWait = 2 * time.Second
 
+// longRunningStarvationTime is how long a task of a long-running step that has runs may wait while shorter tasks wait as well. It is several times StarvationTime,
+// because its users are served by the others.
+const longRunningStarvationTime = 3 * StarvationTime
+
 // shortTaskWait is how long a task with a reservation that ends must have waited for room to count as waiting. Most find room in the first plans after they
 // have become ready.
 const shortTaskWait = 250 * time.Millisecond
@@ -57,28 +61,37 @@
 }
 
 // longRunningWait returns how long a task of the long-running step waits until it goes before all others. While tasks with a reservation that end wait for
-// room, it goes before them only to begin a step: a long-running task takes the room that becomes free for ever, and each one that goes before shorter ones
-// would leave these less.
+// room, it goes before them earlier only to begin a step: a long-running task takes the room that becomes free for ever, and each one that goes before shorter
+// ones would leave these less.
 func (d *Dispatcher) longRunningWait(c sortedStep) time.Duration {
 	switch {
-	case c.priority < d.shortTasksWaiting:
+	case c.priority < d.shortTasksWaiting[c.service]:
 		return longRunningWait
 	case slices.ContainsFunc(c.step.Tasks, func(t *bookkeeper.Task) bool { return !t.IsWaiting() && !t.IsDone() }):
-		return math.MaxInt64
+		return longRunningStarvationTime
 	}
 	return StarvationTime
 }
 
-// highestPriorityOfShortTasks returns the highest priority, which is the lowest number, of the steps with tasks that have a reservation, end and wait for
-// room. Without such steps it is below all priorities.
-func highestPriorityOfShortTasks(now time.Time, steps []sortedStep) int {
-	highest := math.MaxInt
+// highestPrioritiesOfShortTasks returns for each service the highest priority, which is the lowest number, of the steps with tasks that have a reservation, end and
+// wait for room that other tasks of the service may take. Without such steps it is below all priorities. Steps that no usable VM can host, and those that may
+// wait for a rack, do not count.
+func (d *Dispatcher) highestPrioritiesOfShortTasks(now time.Time, steps []sortedStep) map[string]int {
+	highest := map[string]int{}
+	for _, v := range d.vms {
+		highest[v.Service] = math.MaxInt
+	}
 	for _, c := range steps {
-		if c.step.LongRunning || c.step.BestEffort {
+		if c.step.LongRunning || c.step.BestEffort || c.step.PreferredRack != "" || c.step.SameRack || c.priority >= highest[c.service] {
+			continue
+		}
+		if t := longestWaiting(c.step); t == nil || now.Sub(t.WaitingSince()) < shortTaskWait {
 			continue
 		}
-		if t := longestWaiting(c.step); t != nil && now.Sub(t.WaitingSince()) >= shortTaskWait {
-			highest = min(highest, c.priority)
+		if slices.ContainsFunc(d.vms, func(v *VM) bool {
+			return v.Service == c.service && v.Schedulable && !v.Evacuated && v.CanHost(c.step.Step)
+		}) {
+			highest[c.service] = c.priority
 		}
 	}
 	return highest
