--- a/internal/batch/assessor/assessor.go
+++ b/internal/batch/assessor/assessor.go
@@ -22,8 +22,8 @@
 	missing     float64
 }
 
-// Observe adds an observation: the processors that the best-effort tasks request, whether they run or wait, and those that they may use, both in the same
-// unit. It reports whether the state has changed.
+// Observe adds an observation: the processors that the running best-effort tasks request, and those that they may use, both in the same unit. It reports whether
+// the state has changed.
 func (a *Assessor) Observe(now time.Time, requested, usable float64) bool {
 	a.missing = 0
 	if requested > 0 {
--- a/internal/batch/coordinator/pace.go
+++ b/internal/batch/coordinator/pace.go
@@ -136,7 +136,7 @@
 	return c.state.appraiser.ValuePerProcessorSecond(j.Queue, j.Work(), step.RemainingWork(), prospect)
 }
 
-// checkShortage updates whether best-effort work is short of processors: running tasks are throttled, or tasks wait.
+// checkShortage updates whether best-effort work is short of processors, from the paces of the running tasks.
 func (c *Coordinator) checkShortage(now time.Time) {
 	s := &c.state
 	if now.Sub(s.shortageCheckedAt) < shortageCheckInterval {
