--- a/internal/fleet/subscriber/evacuation_test.go
+++ b/internal/fleet/subscriber/evacuation_test.go
@@ -50,7 +50,7 @@
 	opEntry struct {
 		*subscriber.Subscriber
 		topic *opTopic
-		log   *bytes.Buffer
+		log   *logBuffer
 		mutex sync.Mutex
 		// cut reports whether the store answers this entry nothing.
 		cut   bool
@@ -156,7 +156,7 @@
 
 // newOpEntry returns an entry that follows the topic. Run starts it.
 func newOpEntry(topic *opTopic) *opEntry {
-	e := &opEntry{topic: topic, log: &bytes.Buffer{}}
+	e := &opEntry{topic: topic, log: &logBuffer{}}
 	e.Subscriber = &subscriber.Subscriber{
 		Source: e, PeerClient: e, Clock: simClock{}, Log: zerolog.New(zerolog.SyncWriter(e.log)), Meter: &meter.Meter{}, OnStoreResponse: func() {},
 		OnChange:              func(*routetable.Configuration) {},
@@ -412,3 +412,21 @@
 		synctest.Wait()
 	})
 }
+
+// logBuffer is a buffer for the log of an entry, which a test reads while the entry runs.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
