test.sh: race tests of elections use one processor on x86-64

With one processor it cannot, and it still reports all accesses that are not ordered by synchronisation. No test is left out.

--- a/test.sh
+++ b/test.sh
@@ -18,6 +18,12 @@
   go test -count=1 -timeout 8m "$@" ./internal/fleet/elector -run '^TestElector$' || failed=1
   go test -count=1 -timeout 8m ./internal/fleet/elector -skip '^TestElector$' || failed=1
 fi
+# On x86-64 it crashes there as well if two processors run timers of one bubble at the same time. With one processor it does not, and still sees all accesses
+# that are not ordered by synchronisation.
+if [[ " $* " == *" -race "* && "$(uname -m)" != aarch64 ]] && echo "$others" | grep -qx bamboohook/internal/fleet/elector; then
+  others=$(echo "$others" | grep -vx bamboohook/internal/fleet/elector || true)
+  go test -count=1 -timeout 8m "$@" -cpu 1 ./internal/fleet/elector || failed=1
+fi
 # shellcheck disable=SC2086
 [ -z "$others" ] || go test -count=1 -timeout 8m "$@" $others || failed=1
 if echo "$packages" | grep -qx bamboohook/tests/batch; then
