attendant: orders call the endpoint in turn, as many as it answers in time

A wave of cancellations lets the other runs of a VM lapse in the same way.

Cause: the agent sent all orders of a message at once, up to 512, and each again every 60 ms for 500 ms. An endpoint takes 64 connections. Further ones wait in its queue, and it also reads the requests of those that were given up, so a list request, which renews the leases, waits behind thousands of calls.

Change: orders wait for their turn in the agent, stops and paces first. Orders and list requests without an answer are repeated after a multiple of the usual time of an answer, at least 60 ms as before. A start without a turn within 250 ms is refused as endpoint-busy; it was never sent.

Ruled out: in a scratch copy, each of these made no difference to the tests and was left out: a pause of starts while renewals are late, pauses between lists, a limit of copies, a window limited by the time of lists. Without the window, the longer interval of starts or that of lists, tests fail.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -102,6 +102,7 @@
 		a.reportRequests, a.listRequests = make(chan struct{}, 1), make(chan struct{}, 1)
 		a.listEnded = make(chan struct{})
 		a.runs, a.highestStopped = map[string]*run{}, map[string]int{}
+		a.callQueue = newCallQueue()
 		a.fencingToken, a.decisiveToken = 1, math.MaxUint64
 		a.Meter.Set(meterEvacuated, 0)
 		a.Log.Info().Str("generation", a.Generation).Uint64("token", a.fencingToken).Msg("agent process begins to list runs")
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -204,6 +204,8 @@
 		// endpoint last responded to a list request, or when the agent was started.
 		lastAppliedRequestAt time.Time
 		lastResponseAt       time.Time
+		// listDelay is how long the endpoint usually takes for a list, beyond the delay that the list request permits.
+		listDelay time.Duration
 		// lastLeaseAt is when a request that begins or renews leases was last sent, or when the agent was started: an earlier agent process may
 		// have sent one until then.
 		lastLeaseAt time.Time
@@ -219,6 +221,8 @@
 		discards []*discard
 		// startsInProgress is the number of starts of which copies are being sent.
 		startsInProgress int
+		// callQueue contains the orders that wait for their turn at the endpoint.
+		callQueue callQueue
 		// listCalls are the list requests in progress.
 		listCalls sync.WaitGroup
 		// listEnded is closed, and replaced, when a list request has ended.
@@ -268,6 +272,8 @@
 		size       resource.Amount
 		bestEffort bool
 		phase      phase
+		// queued reports whether the start waits for its turn at the endpoint, so that no copy of it has been sent.
+		queued bool
 		// confirmedAt is when the endpoint confirmed the start. The response to a list request sent before then may lack the run
 		// although it runs.
 		confirmedAt time.Time
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// endpointCallTimeout bounds the calls for one stop or pace. It is short because the endpoint runs on the same VM.
+	// endpointCallTimeout bounds the calls for one stop or pace, after the wait for their turn. It is short because the endpoint runs on the same VM.
 	endpointCallTimeout = 350 * time.Millisecond
-	// startTimeout bounds the calls for one start, and unknownStartTimeout the wait for a listing that shows whether a start without an answer
-	// took effect. Together they are shorter than the time for which the owner waits for the response to its orders.
+	// startTimeout bounds the wait of a start for its turn and the calls for it, and unknownStartTimeout the wait for a listing that shows whether a start
+	// without an answer took effect. Together they are shorter than the time for which the owner waits for the response to its orders.
 	startTimeout        = 500 * time.Millisecond
 	unknownStartTimeout = 400 * time.Millisecond
 )
@@ -36,6 +36,7 @@
 	ReasonNoCapacity       = "no-room"
 	ReasonOtherRun         = "other-run"
 	ReasonStopped          = "stopped"
+	ReasonEndpointBusy     = messenger.ReasonEndpointBusy
 	ReasonEndpointRefused  = "endpoint-refused"
 	ReasonNotRunning       = "not-running"
 )
@@ -137,7 +138,16 @@
 		outcome.Outcome, outcome.Reason = immediateOutcome, reason
 		return outcome
 	}
-	unanswered, err := a.sendStarts(ctx, x, s)
+	sendCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if !a.awaitTurn(ctx, x) {
+		a.refuseQueuedStart(x)
+		outcome.Reason = ReasonEndpointBusy
+		return outcome
+	}
+	startedAt := a.Clock.Now()
+	unanswered, err := a.sendStarts(sendCtx, x, s)
+	a.endTurn(startedAt, err)
 	a.mutex.Lock()
 	x.startUnanswered = unanswered
 	switch {
@@ -218,11 +228,75 @@
 	if !reservedSize(s.Size, s.BestEffort).Fits(freeCapacity) {
 		return nil, messenger.StartRefused, ReasonNoCapacity
 	}
-	x := &run{Run: messenger.Run{Task: s.Task, Number: s.Number, Checkpoint: s.Checkpoint}, size: s.Size, bestEffort: s.BestEffort}
+	x := &run{Run: messenger.Run{Task: s.Task, Number: s.Number, Checkpoint: s.Checkpoint}, size: s.Size, bestEffort: s.BestEffort, queued: true}
 	a.runs[s.Task] = x
 	return x, "", ""
 }
 
+// awaitTurn waits until an order may call the endpoint. x is the run to start, or nil for other orders. If that takes longer than turnTimeout, it returns
+// false. Otherwise the caller must call endTurn.
+func (a *Attendant) awaitTurn(ctx context.Context, x *run) bool {
+	a.mutex.Lock()
+	turn := a.callQueue.enter(x != nil)
+	a.mutex.Unlock()
+	timer := time.NewTimer(turnTimeout)
+	defer timer.Stop()
+	select {
+	case <-turn:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.callQueue.abandon(turn) {
+		return false
+	}
+	if x != nil {
+		x.queued = false
+	}
+	return true
+}
+
+// endTurn ends the turn of an order whose first call was sent at startedAt. err is its outcome.
+func (a *Attendant) endTurn(startedAt time.Time, err error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	q := &a.callQueue
+	if q.leave(err == nil, startedAt, a.Clock.Now()) {
+		a.Meter.Count("order-window-shrunk")
+		a.Log.Info().Dur("answer-time", q.answerTime).Int("window", q.window.Window()).Int("starts-waiting", len(q.starts)).Int("others-waiting", len(q.others)).
+			Int("runs", len(a.runs)).Msg("endpoint answers late; fewer orders at a time")
+	}
+}
+
+// refuseQueuedStart removes a run whose start has not been sent to the endpoint.
+func (a *Attendant) refuseQueuedStart(x *run) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.removeRun(x)
+	a.Meter.Count("starts-refused-busy")
+	a.Log.Info().Str("task", x.Task).Int("run", x.Number).Int("window", a.callQueue.window.Window()).Dur("answer-time", a.callQueue.answerTime).
+		Str("reason", ReasonEndpointBusy).Msg("start refused")
+}
+
+// observeAnswer updates the usual time in which the endpoint answers orders from a call that was sent at sentAt and has ended with err.
+func (a *Attendant) observeAnswer(sentAt time.Time, err error) {
+	if err != nil && !errors.Is(err, ErrFenced) && !isFinalRejection(err) {
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.callQueue.observe(a.Clock.Now().Sub(sentAt))
+}
+
+// callRepeatInterval returns the time after which an order without an answer is sent again. While the endpoint is slow, it is a multiple of the usual time of
+// an answer: a copy helps if the one before was lost, but if that is only late, it makes the endpoint slower.
+func (a *Attendant) callRepeatInterval() time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return max(repeatInterval, callRepeatFactor*max(a.callQueue.answerTime, a.listDelay))
+}
+
 // countEvacuationRefusal counts and logs a start that is refused because the data centre is evacuated.
 func (a *Attendant) countEvacuationRefusal(s messenger.Start) {
 	a.Meter.Count("starts-refused-evacuated")
@@ -245,12 +319,12 @@
 	}
 }
 
-// sendStarts sends copies of the start of the run x to the endpoint, one each repeatInterval, until one of them is answered or startTimeout is over.
+// sendStarts sends copies of the start of the run x to the endpoint, one each callRepeatInterval, until one of them is answered or ctx is done.
 // Each copy carries a higher fencing token than the copies before that were not answered. All of them have the same run number, so the endpoint
 // executes one at most. It returns the decisive response, or an error without a response. unanswered reports whether another copy, or all of them, may
 // have taken effect. All later calls then carry a higher token than the copies.
 func (a *Attendant) sendStarts(ctx context.Context, x *run, s messenger.Start) (unanswered bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type response struct {
 		token uint64
@@ -258,8 +332,8 @@
 	}
 	// The responses to copies that are still in progress at the end are not read.
 	responses := make(chan response, startTimeout/repeatInterval+2)
-	ticker := time.NewTicker(repeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(a.callRepeatInterval())
+	defer timer.Stop()
 	pending, repeatedAtOnce := 0, false
 	var lastToken uint64
 	a.mutex.Lock()
@@ -286,6 +360,7 @@
 				startedAt := a.Clock.Now()
 				err := a.Endpoint.Start(ctx, c)
 				a.Meter.Observe("start", a.Clock.Now().Sub(startedAt))
+				a.observeAnswer(startedAt, err)
 				responses <- response{c.FencingToken, err}
 			}()
 		}
@@ -293,8 +368,9 @@
 			select {
 			case <-ctx.Done():
 				return unanswered || pending > 0, ctx.Err()
-			case <-ticker.C:
+			case <-timer.C:
 				waiting = false
+				timer.Reset(a.callRepeatInterval())
 			case r := <-responses:
 				pending--
 				switch {
@@ -386,15 +462,23 @@
 	endpointKnown := a.incarnation == o.Incarnation && a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != ""
 	a.highestStopped[s.Task] = max(a.highestStopped[s.Task], s.Number)
 	a.mutex.Unlock()
+	if !a.awaitTurn(ctx, nil) {
+		return false
+	}
+	startedAt := a.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
 	defer cancel()
-	err := callUntilAnswered(ctx, func() error {
+	err := callUntilAnswered(ctx, a.callRepeatInterval, func() error {
 		a.mutex.Lock()
 		c := StopCall{EndpointID: a.heartbeat.EndpointID, FencingToken: a.fencingToken, Stop: s}
 		endpointKnown = endpointKnown && a.heartbeat.Incarnation == o.Incarnation
 		a.mutex.Unlock()
-		return a.Endpoint.Stop(ctx, c)
+		sentAt := a.Clock.Now()
+		err := a.Endpoint.Stop(ctx, c)
+		a.observeAnswer(sentAt, err)
+		return err
 	})
+	a.endTurn(startedAt, err)
 	a.Log.Info().Str("task", s.Task).Int("run", s.Number).Err(err).Msg("stop call to the endpoint has ended (successfully unless an error is given)")
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -410,6 +494,10 @@
 // setPace asks the endpoint to limit a run to a percentage of its full rate. It returns whether the endpoint has confirmed that. If copies of the call are unanswered, all later
 // calls carry a higher fencing token, so that the endpoint does not execute these copies after a later pace.
 func (a *Attendant) setPace(ctx context.Context, p messenger.Pace) bool {
+	if !a.awaitTurn(ctx, nil) {
+		return false
+	}
+	startedAt := a.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, endpointCallTimeout)
 	defer cancel()
 	copies, lastToken := 0, uint64(0)
@@ -421,7 +509,7 @@
 		order = x.paceOrders
 	}
 	a.mutex.Unlock()
-	err := callUntilAnswered(ctx, func() error {
+	err := callUntilAnswered(ctx, a.callRepeatInterval, func() error {
 		a.mutex.Lock()
 		if ctx.Err() != nil {
 			a.mutex.Unlock()
@@ -436,7 +524,9 @@
 			copies++
 			lastToken = c.FencingToken
 			a.mutex.Unlock()
+			sentAt := a.Clock.Now()
 			err := a.Endpoint.Pace(ctx, c)
+			a.observeAnswer(sentAt, err)
 			a.mutex.Lock()
 			if !errors.Is(err, ErrFenced) || a.fencingToken == c.FencingToken || ctx.Err() != nil {
 				a.mutex.Unlock()
@@ -446,6 +536,7 @@
 		}
 	})
 	cancel()
+	a.endTurn(startedAt, err)
 	a.mutex.Lock()
 	if (copies > 1 || err != nil) && a.fencingToken == lastToken {
 		a.raiseToken()
--- a/internal/fleet/attendant/repeat.go
+++ b/internal/fleet/attendant/repeat.go
@@ -10,14 +10,14 @@
 // same VM and answers within a few milliseconds; a repeat of a call that is only slow does no harm.
 const repeatInterval = listRetryPause
 
-// callUntilAnswered calls f at once and then each repeatInterval until one of the calls has returned, or until ctx is done. It returns the
+// callUntilAnswered calls f at once and then each time that interval has passed, until one of the calls has returned or ctx is done. It returns the
 // result of that call, or the error of ctx. The calls of f may be concurrent, must end when ctx is done, and may end after the return.
-func callUntilAnswered(ctx context.Context, f func() error) error {
+func callUntilAnswered(ctx context.Context, interval func() time.Duration, f func() error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
-	ticker := time.NewTicker(repeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(interval())
+	defer timer.Stop()
 	for {
 		go func() {
 			err := f()
@@ -31,7 +31,8 @@
 			return err
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(interval())
 		}
 	}
 }
--- a/internal/fleet/attendant/silence_test.go
+++ b/internal/fleet/attendant/silence_test.go
@@ -172,25 +172,32 @@
 func watch(t *testing.T, script func(t *testing.T, a *attendant.Attendant, e *watchedEndpoint, o *watchedReporter)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		e, o := &watchedEndpoint{bornAt: time.Now(), added: make(chan struct{})}, &watchedReporter{}
-		a := &attendant.Attendant{
-			Address: "vm", Generation: "g", Endpoint: e, Reporter: o, Clock: virtualClock{}, Log: zerolog.Nop(),
-			LeaseDurations: attendant.LeaseDurations{Grant: silenceGrant, Run: silenceLease}, Seeds: []string{"owner"},
-		}
-		ended := make(chan struct{})
-		go func() { defer close(ended); _ = a.Run(ctx) }()
-		defer func() { cancel(); <-ended }()
-		time.Sleep(time.Second)
-		a.HandleHeartbeat(attendant.Heartbeat{
-			EndpointID: "e", Incarnation: e.bornAt.UnixMilli(), Sequence: 1, Service: "s", Capacity: resource.Amount{MilliProcessors: 1000, MemoryBytes: 100},
-		})
-		time.Sleep(time.Second)
-		if r := o.last(); !r.Listed || r.State != messenger.VMUp {
-			t.Errorf("the report at the beginning is %+v", r)
-		}
-		script(t, a, e, o)
+		e := &watchedEndpoint{bornAt: time.Now(), added: make(chan struct{})}
+		attend(t, e, e.bornAt, func(a *attendant.Attendant, o *watchedReporter) { script(t, a, e, o) })
+	})
+}
+
+// attend plays the script in a bubble with an agent that has just listed the runs of the endpoint and has a grant.
+func attend(t *testing.T, e attendant.Endpoint, bornAt time.Time, script func(a *attendant.Attendant, o *watchedReporter)) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &watchedReporter{}
+	a := &attendant.Attendant{
+		Address: "vm", Generation: "g", Endpoint: e, Reporter: o, Clock: virtualClock{}, Log: zerolog.Nop(),
+		LeaseDurations: attendant.LeaseDurations{Grant: silenceGrant, Run: silenceLease}, Seeds: []string{"owner"},
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = a.Run(ctx) }()
+	defer func() { cancel(); <-ended }()
+	time.Sleep(time.Second)
+	a.HandleHeartbeat(attendant.Heartbeat{
+		EndpointID: "e", Incarnation: bornAt.UnixMilli(), Sequence: 1, Service: "s", Capacity: resource.Amount{MilliProcessors: 1000, MemoryBytes: 100},
 	})
+	time.Sleep(time.Second)
+	if r := o.last(); !r.Listed || r.State != messenger.VMUp {
+		t.Errorf("the report at the beginning is %+v", r)
+	}
+	script(a, o)
 }
 
 // startRun makes the agent start a run.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -20,6 +20,11 @@
 	idleListWait = 500 * time.Millisecond
 	// listTimeoutMargin is added to the permitted delay of the response to get the timeout of a list request.
 	listTimeoutMargin = 700 * time.Millisecond
+	// listRepeatFactor is the multiple of the usual time of a response after which a list request is overdue, maxListRepeatInterval the longest such time.
+	// listDelaySamples is the number of responses over which that time is averaged.
+	listRepeatFactor      = 2
+	maxListRepeatInterval = listTimeoutMargin
+	listDelaySamples      = 4
 	// pendingResultsPause is the time between list requests while the owner has not recorded all run results. The endpoint doesn't
 	// delay its responses to these requests, because it still has results to list.
 	pendingResultsPause = 20 * time.Millisecond
@@ -125,8 +130,8 @@
 	return a.heartbeat.Incarnation == a.incarnation && a.heartbeat.EndpointID != "" && a.lastStartEndedAt.Before(a.lastAppliedRequestAt) && !a.isStarting()
 }
 
-// listUntilAnswered sends a list request. While it is overdue, which is repeatInterval after the permitted delay of the response, it sends another one
-// each repeatInterval, until one of them is answered or has failed. The endpoint answers the further ones without a delay. As each request has a
+// listUntilAnswered sends a list request. While it is overdue, which is listRepeatInterval after the permitted delay of the response, it sends another one
+// each listRepeatInterval, until one of them is answered or has failed. The endpoint answers the further ones without a delay. As each request has a
 // timeout, at most a few more than listTimeoutMargin/repeatInterval are in progress. It reports whether a request succeeded.
 func (a *Attendant) listUntilAnswered(ctx context.Context, wait time.Duration) bool {
 	ctx, cancel := context.WithCancel(ctx)
@@ -141,7 +146,7 @@
 			}
 		})
 	}
-	timer := time.NewTimer(wait + repeatInterval)
+	timer := time.NewTimer(wait + a.listRepeatInterval())
 	defer timer.Stop()
 	send(wait)
 	for {
@@ -154,11 +159,28 @@
 			}
 		case <-timer.C:
 			send(0)
-			timer.Reset(repeatInterval)
+			timer.Reset(a.listRepeatInterval())
 		}
 	}
 }
 
+// listRepeatInterval returns the time after which a list request is overdue. While the endpoint is slow, it is a multiple of the usual time of a response, so that
+// repeated requests do not make the endpoint slower.
+func (a *Attendant) listRepeatInterval() time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return min(max(repeatInterval, listRepeatFactor*a.listDelay), maxListRepeatInterval)
+}
+
+// observeListDelay updates how long the endpoint takes for lists from the duration of a list request that it was permitted to delay by wait. If it responded
+// within that time, it is not known how much of that was the permitted delay. The caller holds the mutex.
+func (a *Attendant) observeListDelay(took, wait time.Duration) {
+	if took < wait {
+		return
+	}
+	a.listDelay += (took - wait - a.listDelay) / listDelaySamples
+}
+
 // list sends one list request, which renews the leases if the agent has a grant, and applies the response. After its timeout it returns errUnanswered.
 func (a *Attendant) list(ctx context.Context, wait time.Duration) error {
 	a.mutex.Lock()
@@ -204,6 +226,7 @@
 		return err
 	}
 	a.lastResponseAt, a.mayBeReplaced = a.Clock.Now(), false
+	a.observeListDelay(a.lastResponseAt.Sub(sentAt), wait)
 	if a.silent {
 		a.silent = false
 		a.renewGeneration("the endpoint responds again after the leases of its runs have expired")
@@ -314,7 +337,7 @@
 		return true
 	}
 	for _, x := range a.runs {
-		if x.phase == phaseStarting {
+		if x.phase == phaseStarting && !x.queued {
 			return true
 		}
 	}
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -71,8 +71,12 @@
 	StartUnknown = "unclear"
 )
 
-// ReasonEvacuated is the reason with which an agent refuses a start because its data centre is evacuated.
-const ReasonEvacuated = "evacuated"
+const (
+	// ReasonEvacuated is the reason with which an agent refuses a start because its data centre is evacuated.
+	ReasonEvacuated = "evacuated"
+	// ReasonEndpointBusy is the reason with which an agent refuses a start that it has not sent, because its endpoint falls behind.
+	ReasonEndpointBusy = "endpoint-busy"
+)
 
 type (
 	// Report is the state of a VM and its endpoint, which the agent on the VM sends to the owner.
