coordinator: as many unconfirmed starts on a VM as its agent confirms in time

Cause: the owner placed all waiting tasks at once and ordered them in messages of 512, one after another, without waiting for a confirmation. Whatever came later waited in the agents behind that backlog, and its order there was no longer that of the dispatcher.

Change: a window for each VM, 16 at first, of starts that are not confirmed. It grows with confirmations, and halves when a response takes 100 ms or more, is missing, or says that the endpoint is busy or the outcome unknown. The dispatcher places no task beyond it, so all others wait in its order: the job with the least work left comes first. Gangs start beyond the window, since their tasks only work together. An explanation ignores it.

--- a/internal/batch/coordinator/explain.go
+++ b/internal/batch/coordinator/explain.go
@@ -79,6 +79,8 @@
 	for _, v := range s.vms {
 		clone := v.Clone()
 		c.updateSchedulable(clone, v, now)
+		// Starts that are not confirmed yet delay others only for a moment.
+		clone.StartWindow = 0
 		vms, coordinatorVMs[clone] = append(vms, clone), v
 		if v.Service == queue.Service {
 			explanation.VMs++
--- a/internal/batch/coordinator/interfaces.go
+++ b/internal/batch/coordinator/interfaces.go
@@ -18,6 +18,7 @@
 	"bamboohook/internal/fleet/evacuation"
 	"bamboohook/internal/fleet/messenger"
 	"bamboohook/internal/fleet/meter"
+	"bamboohook/internal/fleet/windower"
 )
 
 type (
@@ -178,6 +179,9 @@
 		unrecordedSequences map[int64]struct{}
 		pacer               pacer.Pacer
 		breaker             breaker.Breaker
+		// startWindow limits how many starts may be unconfirmed, by what the agent has confirmed in time. pendingStarts is how many are.
+		startWindow   windower.Windower
+		pendingStarts int
 		// startsRefusedAt is when the agent last refused a start, or the zero time if a later start has succeeded.
 		startsRefusedAt time.Time
 		// unschedulableUntil is when tasks may start on the VM again after its agent has refused orders or a start.
@@ -207,6 +211,8 @@
 		ticketText string
 		// needed reports whether the result of the run still matters to its task.
 		needed bool
+		// startPending reports whether this owner has placed the run and does not know yet whether it exists.
+		startPending bool
 		// confirmed reports whether the run certainly exists or has existed, since confirmedAt.
 		confirmed   bool
 		confirmedAt time.Time
--- a/internal/batch/coordinator/orders.go
+++ b/internal/batch/coordinator/orders.go
@@ -14,6 +14,12 @@
 	// may take up to six, which must not exceed the size of a frame.
 	maxOrdersPerMessage = 512
 	maxOrdersBytes      = 1 << 20
+	// leastStartWindow and initialStartWindow are the least and the first number of starts on a VM that may be unconfirmed. The highest is
+	// maxOrdersPerMessage.
+	leastStartWindow   = 4
+	initialStartWindow = 16
+	// slowOrders is the time until the response to starts from which on the agent counts as congested. A new job whose tasks start there waits about as long.
+	slowOrders = 100 * time.Millisecond
 	// unconfirmedPace is the confirmed pace of a run whose pace may be any, because its agent process was replaced.
 	unconfirmedPace = -1
 	// orderOverhead is about how many bytes an order takes besides its texts.
@@ -52,6 +58,38 @@
 	return true
 }
 
+// updateStartWindow updates how many starts on the VM may be unconfirmed from the response to orders that were sent at sentAt, or the error in its place.
+func (c *Coordinator) updateStartWindow(v *vm, response messenger.OrdersResponse, err error, sentAt time.Time) {
+	done, congested := 0, err != nil
+	for _, s := range response.Starts {
+		switch {
+		case s.Outcome == messenger.StartDone:
+			done++
+		case s.Outcome == messenger.StartUnknown, s.Reason == messenger.ReasonEndpointBusy:
+			congested = true
+		}
+	}
+	now := c.Clock.Now()
+	if !congested && now.Sub(sentAt) < slowOrders {
+		v.startWindow.Answered(done)
+		return
+	}
+	if len(response.Starts) == 0 && err == nil || !v.startWindow.Congested(sentAt, now) {
+		return
+	}
+	c.Meter.Count("start-window-shrunk")
+	c.Log.Info().Str("vm", v.Name).Dur("after", now.Sub(sentAt)).Int("confirmed", done).Int("window", v.startWindow.Window()).Int("pending", v.pendingStarts).
+		Msg("agent confirms starts late; fewer at a time")
+}
+
+// startEnded records that it is known whether the run exists.
+func (v *vm) startEnded(x *run) {
+	if x.startPending {
+		x.startPending = false
+		v.pendingStarts--
+	}
+}
+
 // dueOrder returns the kind of the order that is due for the run.
 func (x *run) dueOrder(now time.Time) orderKind {
 	kind, sentAt := noOrder, time.Time{}
--- a/internal/batch/coordinator/plan.go
+++ b/internal/batch/coordinator/plan.go
@@ -300,6 +300,7 @@
 func (c *Coordinator) updateSchedulable(d *dispatcher.VM, v *vm, now time.Time) {
 	usable := c.usable(v, now) && !v.awaitsConfirmation(now, c.confirmedAt())
 	d.Schedulable, d.SchedulableSoon, d.Probing = usable && v.breaker.Allows(now), usable, v.breaker.Open()
+	d.StartWindow, d.PendingStarts = v.startWindow.Window(), v.pendingStarts
 	// The VM may accept starts again, so a starving task tries it again from time to time.
 	d.StartsRefused = !v.startsRefusedAt.IsZero() && now.Sub(v.startsRefusedAt) < dispatcher.StarvationTime
 }
@@ -333,8 +334,9 @@
 	x := &run{
 		taskName: t.ID().String(), task: t, vm: v, number: number, needed: true, knownSince: now,
 		pace: pacer.FullPercent, confirmedPace: pacer.FullPercent, waited: waited, lostTime: waited, lostTimeAt: now, startedOverdue: p.Overdue,
-		offRack: p.OffRack,
+		offRack: p.OffRack, startPending: true,
 	}
+	v.pendingStarts++
 	if c.queueOf(t.Step.Job).Advised {
 		x.ticketText = c.state.inquirer.Ticket(stepName(t.Step), v.endpoint(), now)
 	}
@@ -357,6 +359,7 @@
 
 // confirmRun records that a run certainly exists or has existed on its VM.
 func (c *Coordinator) confirmRun(x *run) {
+	x.vm.startEnded(x)
 	if !x.needed || x.confirmed {
 		return
 	}
@@ -372,6 +375,7 @@
 func (c *Coordinator) sendOrders(ctx context.Context, name string, o messenger.Orders) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	sentAt := c.Clock.Now()
 	response, err := c.Agents.SendOrders(callCtx, name, o)
 	c.state.mutex.Lock()
 	defer c.state.mutex.Unlock()
@@ -381,6 +385,7 @@
 		return
 	}
 	c.runsChanged(v)
+	c.updateStartWindow(v, response, err, sentAt)
 	if err != nil {
 		c.Log.Warn().Err(err).Str("vm", name).Int("starts", len(o.Starts)).Int("stops", len(o.Stops)).Str("generation", v.agentGeneration).Msg("agent did not respond to orders")
 		return
--- a/internal/batch/coordinator/report.go
+++ b/internal/batch/coordinator/report.go
@@ -9,6 +9,7 @@
 	"bamboohook/internal/batch/job"
 	"bamboohook/internal/batch/pacer"
 	"bamboohook/internal/fleet/messenger"
+	"bamboohook/internal/fleet/windower"
 )
 
 const (
@@ -117,7 +118,8 @@
 func (c *Coordinator) newVM(name string) *vm {
 	return &vm{
 		VM: dispatcher.VM{Name: name, Evacuated: c.state.evacuations.Forbids("")}, runs: map[string]*run{}, unrecordedSequences: map[int64]struct{}{},
-		pacer: pacer.Pacer{MissTolerance: c.Limits.MissTolerance},
+		pacer:       pacer.Pacer{MissTolerance: c.Limits.MissTolerance},
+		startWindow: windower.Windower{Least: leastStartWindow, Most: maxOrdersPerMessage, Initial: initialStartWindow},
 	}
 }
 
@@ -383,6 +385,7 @@
 // owner concluded that the run has ended or never existed.
 func (c *Coordinator) finishRun(x *run, result messenger.RunResult, evidence string, now time.Time) {
 	v := x.vm
+	v.startEnded(x)
 	if v.runs[x.taskName] == x {
 		delete(v.runs, x.taskName)
 	}
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -132,6 +132,8 @@
 	RefusedHeld = "held"
 	// RefusedStartsRefused means that the last start on the VM was refused, and that another VM is held for the step.
 	RefusedStartsRefused = "starts-refused"
+	// RefusedPendingStarts means that as many starts on the VM are unconfirmed as may be at a time.
+	RefusedPendingStarts = "pending-starts"
 	// RefusedRoom means that the task does not fit beside the reservations, or that the VM has enough runs of its step.
 	RefusedRoom = "no-room"
 	// RefusedExcluded means that Dispatcher.Excludes excludes the VM.
@@ -350,6 +352,7 @@
 func (d *Dispatcher) undo(placed []Placement) {
 	for _, p := range placed {
 		p.VM.Remove(p.Task)
+		p.VM.PendingStarts--
 		if p.VM.startedStep == p.Task.Step {
 			p.VM.startedStep = nil
 		}
@@ -419,6 +422,8 @@
 		return score{}, RefusedHeld
 	case v.StartsRefused && d.heldFor == t.Step:
 		return score{}, RefusedStartsRefused
+	case !t.Step.Gang && v.isStartWindowFull():
+		return score{}, RefusedPendingStarts
 	case !v.hasRoomFor(t.Step):
 		return score{}, RefusedRoom
 	case d.Excludes != nil && d.Excludes(t, v):
@@ -453,6 +458,7 @@
 		p.PaceShare, p.Overdue = d.impactInPlan(t.Step, v).paceShare, d.isOverdue(t, now.Sub(t.WaitingSince()))
 	}
 	v.Add(t)
+	v.PendingStarts++
 	v.startedStep = t.Step
 	d.processorsCounted = false
 	if !t.Step.Gang {
--- a/internal/batch/dispatcher/vm.go
+++ b/internal/batch/dispatcher/vm.go
@@ -30,6 +30,9 @@
 	// StartsRefused reports whether the last start on the VM was refused. Starving tasks then only start there if room on another VM cannot be kept for
 	// them.
 	StartsRefused bool
+	// StartWindow is how many starts on the VM may be unconfirmed at a time, or 0 for any number. PendingStarts is how many are. Plans add the starts that they
+	// place. Gangs start beyond the window, because their tasks only work together.
+	StartWindow, PendingStarts int
 	// TargetMissed reports whether a task on the VM misses its latency target.
 	TargetMissed bool
 
@@ -165,6 +168,9 @@
 	v.reserved = v.reserved.Add(change)
 }
 
+// isStartWindowFull reports whether no further start on the VM may be unconfirmed.
+func (v *VM) isStartWindowFull() bool { return v.StartWindow > 0 && v.PendingStarts >= v.StartWindow }
+
 // forgetPredictions makes all predictions for the VM be computed again.
 func (v *VM) forgetPredictions() { v.predictedUtilisation, v.impacts = nil, nil }
 
