attendant: hold starts when results cannot be acknowledged otherwise

Cause: results are only acknowledged while no start is in progress, and after a list that was requested since the last one ended, because an acknowledgement must not reach the next endpoint process with the same ID. With a start every 20 ms, that moment hardly comes; with one every 12 ms, never.

Change: when a recorded result has waited for 500 ms, starts are held until it is acknowledged, for at most 500 ms at a time. A list is requested as soon as the last start in progress has ended. Fencing stays as it was.

--- a/internal/fleet/attendant/attendant.go
+++ b/internal/fleet/attendant/attendant.go
@@ -498,6 +498,9 @@
 	if recorded <= a.recordedSequence {
 		return
 	}
+	if a.recordedSequence <= a.acknowledgedSequence {
+		a.acknowledgementDueSince = a.Clock.Now()
+	}
 	a.recordedSequence = recorded
 	unrecordedResults := a.pendingResults[:0:0]
 	for _, r := range a.pendingResults {
--- a/internal/fleet/attendant/callqueue.go
+++ b/internal/fleet/attendant/callqueue.go
@@ -21,6 +21,10 @@
 	// time is averaged.
 	callRepeatFactor = 4
 	answerSamples    = 8
+	// While starts are in progress, results cannot be acknowledged. After maxAcknowledgementDelay, starts are held for that, for at most startHold. If that has
+	// not sufficed, they go on, and are held again after the same time.
+	maxAcknowledgementDelay = 500 * time.Millisecond
+	startHold               = 500 * time.Millisecond
 )
 
 // callQueue lets orders call the endpoint in turn, as many at a time as the window permits: stops and paces first, which free or spare resources of the
@@ -39,7 +43,8 @@
 	return callQueue{window: windower.Windower{Least: leastOrders, Most: mostOrders, Initial: initialOrders}}
 }
 
-// enter adds an order to the queue. It returns a channel that is closed when the turn of the order has come. leave must be called at the end of the turn.
+// enter adds an order to the queue. It returns a channel that is closed when the turn of the order has come. Then leave must be called at the end of the turn.
+// admit must be called after both.
 func (q *callQueue) enter(isStart bool) chan struct{} {
 	turn := make(chan struct{})
 	if isStart {
@@ -47,7 +52,6 @@
 	} else {
 		q.others = append(q.others, turn)
 	}
-	q.admit()
 	return turn
 }
 
@@ -70,7 +74,6 @@
 	case answered:
 		q.window.Answered(1)
 	}
-	q.admit()
 	return shrank
 }
 
@@ -79,14 +82,14 @@
 	q.answerTime += (took - q.answerTime) / answerSamples
 }
 
-// admit gives turns to waiting orders, as far as the window permits.
-func (q *callQueue) admit() {
+// admit gives turns to waiting orders, as far as the window permits, and none to starts if these are held.
+func (q *callQueue) admit(holdsStarts bool) {
 	for q.inProgress < q.window.Window() {
 		switch {
 		case len(q.others) > 0:
 			close(q.others[0])
 			q.others = q.others[1:]
-		case len(q.starts) > 0:
+		case len(q.starts) > 0 && !holdsStarts:
 			close(q.starts[0])
 			q.starts = q.starts[1:]
 		default:
--- a/internal/fleet/attendant/interfaces.go
+++ b/internal/fleet/attendant/interfaces.go
@@ -243,8 +243,10 @@
 		recordedSequence     int64
 		acknowledgedSequence int64
 		lastResultSequence   int64
-		pendingResults       []messenger.RunResult
-		resultsMissing       bool
+		// acknowledgementDueSince is when the owner recorded a result, or another one after the last acknowledgement.
+		acknowledgementDueSince time.Time
+		pendingResults          []messenger.RunResult
+		resultsMissing          bool
 		// unreadableTasks, unreadableResults and unnamedRuns are those of the last listing.
 		unreadableTasks   []string
 		unreadableResults bool
--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -238,6 +238,7 @@
 func (a *Attendant) awaitTurn(ctx context.Context, x *run) bool {
 	a.mutex.Lock()
 	turn := a.callQueue.enter(x != nil)
+	a.admitOrders()
 	a.mutex.Unlock()
 	timer := time.NewTimer(turnTimeout)
 	defer timer.Stop()
@@ -267,6 +268,26 @@
 		a.Log.Info().Dur("answer-time", q.answerTime).Int("window", q.window.Window()).Int("starts-waiting", len(q.starts)).Int("others-waiting", len(q.others)).
 			Int("runs", len(a.runs)).Msg("endpoint answers late; fewer orders at a time")
 	}
+	a.admitOrders()
+}
+
+// admitOrders gives turns to waiting orders. The caller holds the mutex.
+func (a *Attendant) admitOrders() {
+	holds := a.holdsStarts(a.Clock.Now())
+	a.callQueue.admit(holds)
+	if holds && len(a.callQueue.starts) > 0 && a.heartbeat.EndpointID != "" && !a.isStarting() {
+		// The next list makes an acknowledgement possible.
+		a.requestList()
+	}
+}
+
+// holdsStarts reports whether no start may be sent, so that recorded results can be acknowledged. An endpoint that lists a limited number of results lists no
+// further ones before. The caller holds the mutex.
+func (a *Attendant) holdsStarts(now time.Time) bool {
+	if a.recordedSequence <= a.acknowledgedSequence {
+		return false
+	}
+	return now.Sub(a.acknowledgementDueSince)%(maxAcknowledgementDelay+startHold) >= maxAcknowledgementDelay
 }
 
 // refuseQueuedStart removes a run whose start has not been sent to the endpoint.
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -216,6 +216,7 @@
 		return err
 	}
 	defer a.notifyListEnded()
+	defer a.admitOrders()
 	if err != nil {
 		a.handleListError(err, q)
 		a.mayBeReplaced = a.mayBeReplaced || !late && callCtx.Err() == nil
@@ -233,6 +234,7 @@
 	}
 	if q.RecordedSequence > 0 && listing.Incarnation == a.incarnation {
 		a.acknowledgedSequence = max(a.acknowledgedSequence, q.RecordedSequence)
+		a.acknowledgementDueSince = a.lastResponseAt
 	}
 	if a.refusedConnections >= maxRefusedConnections {
 		a.Log.Info().Int64("life", listing.Incarnation).Msg("endpoint is reachable again")
