attendant: no start of a run that was ordered to stop, and none on a report older than 2 s

Cause (read): an agent accepted orders up to 2.5 s after the report on which they rest and sent copies of a start for 0.5 s more, 3.0 s together, with no time left for the call itself. An order to stop the run kept neither copies nor starts that wait for their turn from being sent.

A start is refused as stopped if the stop has arrived. So the last copy is sent 2.5 s after the report at the latest.

The virtual tests of the agent use the grant of the product, 2.5 s.

--- a/internal/fleet/attendant/orders.go
+++ b/internal/fleet/attendant/orders.go
@@ -19,6 +19,9 @@
 	// without an answer took effect. Together they are shorter than the time for which the owner waits for the response to its orders.
 	startTimeout        = 500 * time.Millisecond
 	unknownStartTimeout = 400 * time.Millisecond
+	// maxStartOrderAge is the highest age of the report on which orders with starts are based. With startTimeout it is half a second less than the time after
+	// which no task of a cancelled job may start.
+	maxStartOrderAge = 2 * time.Second
 )
 
 // Reasons for rejecting orders or refusing starts. ReasonEndpointRefused and ReasonNotRunning are reserved: the agent never returns them.
@@ -44,6 +47,8 @@
 var (
 	// errEvacuated reports that no start may be sent to the endpoint because its data centre is evacuated.
 	errEvacuated = eris.New("attendant: the data centre is evacuated")
+	// errStopped reports that no start of the run may be sent to the endpoint because the run was ordered to stop.
+	errStopped = eris.New("attendant: the run was ordered to stop")
 	// errSuperseded reports that a later order for the pace of the same run has arrived.
 	errSuperseded = eris.New("attendant: a later pace has been ordered")
 )
@@ -120,7 +125,7 @@
 	switch {
 	case now.Before(a.startsRefusedUntil):
 		return ReasonEntrySilent
-	case a.millisSinceProcessStart(now)-o.ReportSentMS > a.LeaseDurations.Grant.Milliseconds():
+	case a.millisSinceProcessStart(now)-o.ReportSentMS > min(maxStartOrderAge, a.LeaseDurations.Grant).Milliseconds():
 		return ReasonStaleReport
 	case !now.Before(a.grantedUntil):
 		return ReasonNoGrant
@@ -159,9 +164,12 @@
 		// run, and the endpoint then rejects the others.
 		a.removeRun(x)
 		outcome.Reason = err.Error()
-		if errors.Is(err, errEvacuated) {
+		switch {
+		case errors.Is(err, errEvacuated):
 			outcome.Reason = ReasonEvacuated
 			a.countEvacuationRefusal(s)
+		case errors.Is(err, errStopped):
+			outcome.Reason = ReasonStopped
 		}
 	default:
 		// The next list request carries a higher fencing token than all copies, which keeps the endpoint from executing them later. Its
@@ -182,7 +190,8 @@
 // isFinalRejection reports whether err proves that a call to the endpoint has no effect and need not be repeated. It returns false for
 // ErrFenced, after which the call is repeated with a higher token.
 func isFinalRejection(err error) bool {
-	return errors.Is(err, ErrRefused) || errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrNotListening) || errors.Is(err, errEvacuated)
+	return errors.Is(err, ErrRefused) || errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrNotListening) || errors.Is(err, errEvacuated) ||
+		errors.Is(err, errStopped)
 }
 
 // reserveCapacity reserves capacity for a run that o orders. If the start must not be sent to the endpoint, it returns nil and the outcome and reason of
@@ -411,7 +420,7 @@
 }
 
 // composeStart returns the next copy of the start of the run x. Its token is above lastToken, that of the copy before. listed reports that none is
-// needed because the endpoint has listed the run. The error is errEvacuated if the data centre is evacuated, ErrRefused if the agent has no grant to renew leases, and ErrOtherIncarnation if the
+// needed because the endpoint has listed the run. The error is errStopped if the run was ordered to stop, errEvacuated if the data centre is evacuated, ErrRefused if the agent has no grant to renew leases, and ErrOtherIncarnation if the
 // endpoint process for which the run was ordered has been replaced.
 func (a *Attendant) composeStart(x *run, s messenger.Start, lastToken uint64) (c StartCall, listed bool, err error) {
 	a.mutex.Lock()
@@ -424,7 +433,10 @@
 		return c, true, nil
 	}
 	now := a.Clock.Now()
-	if a.evacuated {
+	switch {
+	case a.highestStopped[s.Task] >= s.Number:
+		return c, false, errStopped
+	case a.evacuated:
 		return c, false, errEvacuated
 	}
 	if !now.Before(a.grantedUntil) || a.endpointOverdue(now) {
--- a/internal/fleet/attendant/silence_test.go
+++ b/internal/fleet/attendant/silence_test.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	silenceGrant = 2 * time.Second
+	silenceGrant = 2500 * time.Millisecond
 	silenceLease = 4 * time.Second
 	// callTime is how long an endpoint takes to answer a call.
 	callTime = time.Millisecond
