attendant: an endpoint whose calls fail counts as silent like one that hangs

What callers see: jobs with tasks on a worker that is lost for good stay running for ever (LOST), if calls to it fail otherwise than by their timeout: connections are not opened in time, there is no route, or they are closed.

Cause: the agent checked whether the leases had expired only after a list request that reached its timeout. After other errors it went on reporting its last list.

Change: each list request without a response counts, however it failed.

--- a/internal/fleet/attendant/silence_test.go
+++ b/internal/fleet/attendant/silence_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"bamboohook/internal/fleet/attendant"
@@ -25,12 +26,15 @@
 type (
 	// watchedEndpoint answers list requests and executes starts until it is made silent, and keeps all requests. mutex protects the fields.
 	watchedEndpoint struct {
-		mutex   sync.Mutex
-		bornAt  time.Time
-		silent  bool
-		queries []watchedQuery
-		results []messenger.RunResult
-		runs    []messenger.Run
+		mutex  sync.Mutex
+		bornAt time.Time
+		silent bool
+		// failure, unless nil, is the error of each call, after failureTime.
+		failure     error
+		failureTime time.Duration
+		queries     []watchedQuery
+		results     []messenger.RunResult
+		runs        []messenger.Run
 		// held, unless nil, delays the response to the next list request beyond its timeout, until the test closes the channel.
 		held chan struct{}
 		// added is closed and replaced when a result is added.
@@ -62,8 +66,12 @@
 // answer waits for the time of a call, and for the end of ctx if the endpoint is silent.
 func (e *watchedEndpoint) answer(ctx context.Context) error {
 	time.Sleep(callTime)
-	silent := false
-	e.locked(func() { silent = e.silent })
+	silent, failure, failureTime := false, error(nil), time.Duration(0)
+	e.locked(func() { silent, failure, failureTime = e.silent, e.failure, e.failureTime })
+	if failure != nil {
+		time.Sleep(failureTime)
+		return failure
+	}
 	if silent {
 		<-ctx.Done()
 		return ctx.Err()
@@ -258,6 +266,49 @@
 	})
 }
 
+// Guards against runs that are reported for ever at an endpoint that is gone for good, because calls to it fail otherwise than by their timeout.
+func TestFailingEndpointLosesItsLeases(t *testing.T) {
+	for name, c := range map[string]struct {
+		failure     error
+		failureTime time.Duration
+	}{
+		"connections cannot be opened":          {eris.Wrap(attendant.ErrRefused, "i/o timeout"), 500 * time.Millisecond},
+		"no route to the machine":               {eris.Wrap(attendant.ErrRefused, "no route to host"), 0},
+		"connections are closed":                {errNoResponse, 0},
+		"connections are closed after a moment": {errNoResponse, 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			watch(t, func(t *testing.T, a *attendant.Attendant, e *watchedEndpoint, o *watchedReporter) {
+				before := o.last()
+				if r := startRun(a, before, "a.0.0.0", 1); !r.Accepted {
+					t.Fatalf("a start is refused: %s", r.Reason)
+				}
+				time.Sleep(time.Second)
+				e.locked(func() { e.failure, e.failureTime = c.failure, c.failureTime })
+				failingSince := time.Now()
+				time.Sleep(silenceGrant)
+				if r := o.last(); r.State != messenger.VMUp || len(r.Runs) != 1 {
+					t.Errorf("the report before the leases have expired is %+v", r)
+				}
+				time.Sleep(silenceLease + 2*time.Second)
+				if r := o.last(); r.State != messenger.VMSilent || len(r.Runs) != 0 || r.Listed {
+					t.Errorf("the report %v after the last response is %+v", time.Since(failingSince), r)
+				}
+				for _, q := range e.since(failingSince) {
+					if q.DeadlineMS != 0 && q.at.Sub(failingSince) > silenceGrant {
+						t.Fatalf("a lease was renewed %v after the last response", q.at.Sub(failingSince))
+					}
+				}
+				e.locked(func() { e.failure = nil })
+				time.Sleep(time.Second)
+				if after := o.last(); after.Session <= before.Session || !after.Listed || after.State != messenger.VMUp {
+					t.Errorf("the report after the return is %+v", after)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a result that is discarded at another process than the one that was told to: a request that the endpoint may delay can wait at the next
 // process with the same ID.
 func TestWaitingRequestsAcknowledgeNothing(t *testing.T) {
--- a/internal/fleet/attendant/watch.go
+++ b/internal/fleet/attendant/watch.go
@@ -220,8 +220,11 @@
 	if err != nil {
 		a.handleListError(err, q)
 		a.mayBeReplaced = a.mayBeReplaced || !late && callCtx.Err() == nil
-		if late || callCtx.Err() != nil {
+		if !errors.Is(err, ErrFenced) && !errors.Is(err, ErrOtherIncarnation) && !errors.Is(err, ErrNotListening) {
+			// The endpoint has not responded, whether the request has reached its timeout, could not be sent or has failed.
 			a.checkSilence(sentAt)
+		}
+		if late || callCtx.Err() != nil {
 			return errUnanswered
 		}
 		return err
