--- a/internal/batch/coordinator/backlog_test.go
+++ b/internal/batch/coordinator/backlog_test.go
@@ -38,13 +38,7 @@
 				w := newSimWorld(ctx, 1, simFaults{})
 				w.runTime = time.Hour
 				w.takeOver(0)
-				for n := range vms {
-					vm := fmt.Sprint("vm", n)
-					w.vms = append(w.vms, vm)
-					e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
-					w.locked(func(w *simWorld) { w.endpoints[vm], w.agents[vm] = e, a })
-					go w.sendHeartbeats(e)
-				}
+				w.addStoppedVMs(vms)
 				w.startVMs()
 				w.sleep(2 * time.Second)
 				size := resource.Amount{MilliProcessors: 1, MemoryBytes: 1}
--- a/internal/batch/coordinator/recovery_test.go
+++ b/internal/batch/coordinator/recovery_test.go
@@ -69,6 +69,17 @@
 	})
 }
 
+// addStoppedVMs adds VMs on which startVMs starts the processes.
+func (w *simWorld) addStoppedVMs(count int) {
+	for n := range count {
+		vm := fmt.Sprint("vm", n)
+		w.vms = append(w.vms, vm)
+		e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
+		w.locked(func(w *simWorld) { w.endpoints[vm], w.agents[vm] = e, a })
+		go w.sendHeartbeats(e)
+	}
+}
+
 // startVMs starts the agents and the endpoints of all VMs within startSpread.
 func (w *simWorld) startVMs() {
 	for _, vm := range w.vms {
@@ -102,13 +113,7 @@
 				defer end()
 				w := newSimWorld(ctx, 1, simFaults{})
 				w.takeOver(0)
-				for n := range test.vms {
-					vm := fmt.Sprint("vm", n)
-					w.vms = append(w.vms, vm)
-					e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
-					w.locked(func(w *simWorld) { w.endpoints[vm], w.agents[vm] = e, a })
-					go w.sendHeartbeats(e)
-				}
+				w.addStoppedVMs(test.vms)
 				w.startVMs()
 				w.sleep(2 * time.Second)
 				size := resource.Amount{MilliProcessors: taskProcessors, MemoryBytes: 1}
@@ -173,13 +178,7 @@
 		defer end()
 		w := newSimWorld(ctx, 1, simFaults{})
 		w.takeOver(0)
-		for n := range 2 {
-			vm := fmt.Sprint("vm", n)
-			w.vms = append(w.vms, vm)
-			e, a := &simEndpoint{world: w, vm: vm}, &simAgent{vm: vm}
-			w.locked(func(w *simWorld) { w.endpoints[vm], w.agents[vm] = e, a })
-			go w.sendHeartbeats(e)
-		}
+		w.addStoppedVMs(2)
 		w.startVMs()
 		w.sleep(2 * time.Second)
 		size := resource.Amount{MilliProcessors: taskProcessors, MemoryBytes: 1}
