--- a/internal/fleet/attendant/acknowledgement_test.go
+++ b/internal/fleet/attendant/acknowledgement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -87,7 +86,7 @@
 					n := 0
 					for begin := time.Now(); time.Since(begin) < testTime; time.Sleep(c.interval) {
 						n++
-						task := fmt.Sprintf("a.0.0.%d", n)
+						task := taskName(n)
 						calls.Go(func() {
 							r := startRun(a, o.last(), task, 1)
 							mutex.Lock()
--- a/internal/fleet/attendant/burst_test.go
+++ b/internal/fleet/attendant/burst_test.go
@@ -205,96 +205,93 @@
 	}
 }
 
-// stopAll acts as an owner that orders the stops of the first tasks, and repeats those that are not confirmed, until all are or until the time is over.
-func stopAll(a *attendant.Attendant, o *watchedReporter, tasks int, timeout time.Duration) {
-	var (
-		mutex sync.Mutex
-		calls sync.WaitGroup
-	)
+// taskName returns the name of a task of the bursts.
+func taskName(n int) string { return fmt.Sprintf("a.0.0.%d", n) }
+
+// orderAll acts as an owner that sends orders for all tasks as fast as its messages permit, and repeats those for tasks that are not done, until all are or until
+// the time is over. It calls isDone and send with the mutex locked; send returns the orders for the tasks and what handles the response.
+func orderAll(a *attendant.Attendant, o *watchedReporter, tasks int, timeout time.Duration, mutex *sync.Mutex, isDone func(n int, r messenger.Report) bool,
+	send func(due []int) (messenger.Orders, func(messenger.OrdersResponse)),
+) {
+	sentAt := make([]time.Time, tasks)
+	var calls sync.WaitGroup
 	defer calls.Wait()
-	confirmed, sentAt := map[string]bool{}, make([]time.Time, tasks)
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		r := o.last()
-		var stops []messenger.Stop
+		r, left := o.last(), 0
+		var due []int
 		mutex.Lock()
 		for n := range tasks {
-			task := fmt.Sprintf("a.0.0.%d", n)
-			if !confirmed[task] && time.Since(sentAt[n]) > ordersInterval && len(stops) < maxOrders {
+			if isDone(n, r) {
+				continue
+			}
+			left++
+			if time.Since(sentAt[n]) > ordersInterval && len(due) < maxOrders {
 				sentAt[n] = time.Now()
-				// Whatever number the run has, it ends.
-				stops = append(stops, messenger.Stop{Task: task, Number: math.MaxInt32})
+				due = append(due, n)
 			}
 		}
-		all := len(confirmed) == tasks
+		orders, handle := send(due)
 		mutex.Unlock()
-		if all {
+		if left == 0 {
 			return
 		}
-		if len(stops) == 0 {
+		if len(due) == 0 {
 			continue
 		}
+		orders.Epoch, orders.Owner, orders.Session, orders.Incarnation, orders.ReportSentMS = 3, "owner", r.Session, r.Incarnation, r.SentMS
 		calls.Go(func() {
-			response := a.HandleOrders(context.Background(), messenger.Orders{
-				Epoch: 3, Owner: "owner", Session: r.Session, Incarnation: r.Incarnation, ReportSentMS: r.SentMS, Stops: stops,
-			})
+			response := a.HandleOrders(context.Background(), orders)
 			mutex.Lock()
 			defer mutex.Unlock()
-			for _, s := range response.Stopped {
-				confirmed[s.Task] = true
-			}
+			handle(response)
 		})
 	}
 }
 
-// startAll acts as an owner that orders the starts of all tasks as fast as its messages permit, and repeats those that are not confirmed, until all are or
-// until the time is over. After a refusal it orders the next run.
-func startAll(a *attendant.Attendant, o *watchedReporter, tasks int, timeout time.Duration) {
+// stopAll orders the stops of the first tasks until all are confirmed.
+func stopAll(a *attendant.Attendant, o *watchedReporter, tasks int, timeout time.Duration) {
 	var mutex sync.Mutex
-	numbers, sentAt, confirmed := make([]int, tasks), make([]time.Time, tasks), 0
-	done := make([]bool, tasks)
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		r := o.last()
-		mutex.Lock()
-		for _, x := range r.Runs {
-			n := 0
-			if _, err := fmt.Sscanf(x.Task, "a.0.0.%d", &n); err == nil && !x.Unconfirmed && !done[n] {
-				done[n] = true
-				confirmed++
-			}
+	confirmed := map[string]bool{}
+	isDone := func(n int, _ messenger.Report) bool { return confirmed[taskName(n)] }
+	orderAll(a, o, tasks, timeout, &mutex, isDone, func(due []int) (orders messenger.Orders, handle func(messenger.OrdersResponse)) {
+		for _, n := range due {
+			// Whatever number the run has, it ends.
+			orders.Stops = append(orders.Stops, messenger.Stop{Task: taskName(n), Number: math.MaxInt32})
 		}
-		var starts []messenger.Start
-		for n := range tasks {
-			if done[n] || time.Since(sentAt[n]) <= ordersInterval || len(starts) == maxOrders {
-				continue
-			}
-			if numbers[n] == 0 {
-				numbers[n] = 1
+		return orders, func(response messenger.OrdersResponse) {
+			for _, s := range response.Stopped {
+				confirmed[s.Task] = true
 			}
-			sentAt[n] = time.Now()
-			starts = append(starts, messenger.Start{Task: fmt.Sprintf("a.0.0.%d", n), Number: numbers[n]})
 		}
-		all := confirmed == tasks
-		mutex.Unlock()
-		if all {
-			return
+	})
+}
+
+// startAll orders the starts of all tasks until reports confirm them. After a refusal it orders the next run.
+func startAll(a *attendant.Attendant, o *watchedReporter, tasks int, timeout time.Duration) {
+	var mutex sync.Mutex
+	numbers, confirmed := map[string]int{}, map[string]bool{}
+	var reportSequence uint64
+	isDone := func(n int, r messenger.Report) bool {
+		if r.Sequence > reportSequence {
+			reportSequence = r.Sequence
+			for _, x := range r.Runs {
+				confirmed[x.Task] = confirmed[x.Task] || !x.Unconfirmed
+			}
 		}
-		if len(starts) == 0 {
-			continue
+		return confirmed[taskName(n)]
+	}
+	orderAll(a, o, tasks, timeout, &mutex, isDone, func(due []int) (orders messenger.Orders, handle func(messenger.OrdersResponse)) {
+		for _, n := range due {
+			task := taskName(n)
+			numbers[task] = max(numbers[task], 1)
+			orders.Starts = append(orders.Starts, messenger.Start{Task: task, Number: numbers[task]})
 		}
-		calls.Go(func() {
-			response := a.HandleOrders(context.Background(), messenger.Orders{
-				Epoch: 3, Owner: "owner", Session: r.Session, Incarnation: r.Incarnation, ReportSentMS: r.SentMS, Starts: starts,
-			})
-			mutex.Lock()
-			defer mutex.Unlock()
+		return orders, func(response messenger.OrdersResponse) {
 			for _, s := range response.Starts {
-				n := 0
-				if _, err := fmt.Sscanf(s.Task, "a.0.0.%d", &n); err == nil && s.Outcome == messenger.StartRefused && s.Number == numbers[n] && !done[n] {
-					numbers[n]++
+				if s.Outcome == messenger.StartRefused && s.Number == numbers[s.Task] && !confirmed[s.Task] {
+					numbers[s.Task]++
 				}
 			}
-		})
-	}
+		}
+	})
 }
