--- a/internal/fleet/attendant/repeat.go
+++ b/internal/fleet/attendant/repeat.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// repeatInterval is the time after which a call to the endpoint without an answer is repeated, while the first one may still be answered. It is
+// repeatInterval is the shortest time after which a call to the endpoint without an answer is repeated, while the first one may still be answered. It is
 // also the pause after a failed list request, so that a hanging endpoint gets no more of these than one that fails at once. The endpoint is on the
-// same VM and answers within a few milliseconds; a repeat of a call that is only slow does no harm.
+// same VM and answers within a few milliseconds. If it is slower, the time is longer: see callRepeatInterval and listRepeatInterval.
 const repeatInterval = listRetryPause
 
 // callUntilAnswered calls f at once and then each time that interval has passed, until one of the calls has returned or ctx is done. It returns the
