review: case 12, entries with thin links cannot take the jobs over

Cause: a new owner loads all records of the jobs in one call with a fixed timeout, 4.4 s on a link of 10 Mbit/s, and begins again from the first page when that is over. The claim before has already fenced the previous owner.

--- a/review/third/cmd/review-third/main.go
+++ b/review/third/cmd/review-third/main.go
@@ -13,6 +13,7 @@
 // cases holds the cases by number. Each returns what broke the rule, or "". trouble reports whether the disruption happens.
 var cases = map[string]func(ctx context.Context, i *installation.Installation, trouble bool) (string, error){
 	"11": playStarvedGang,
+	"12": playTakeover,
 }
 
 func main() {
--- a/review/third/internal/installation/installation.go
+++ b/review/third/internal/installation/installation.go
@@ -94,8 +94,7 @@
 		Program string
 		Record  io.Writer
 
-		Store *metastore.Metastore
-
+		Store     *metastore.Metastore
 		mutex     sync.Mutex
 		startedAt time.Time
 		events    []worker.Event
