review: case 13, tasks that last stay away beside jobs that fail and last

Cause: the breakers of all VMs are open while two long-running jobs fail after each start. Their waiting tasks share the few probes with all others in the order of the waits, so a healthy long-running task that has failed once comes after all of them.

Done: script case in which single tasks of healthy jobs fail once.

--- a/review/third/cmd/review-third/gang.go
+++ b/review/third/cmd/review-third/gang.go
@@ -27,20 +27,20 @@
 	for name, value := range extra {
 		step[name] = value
 	}
-	spec := fmt.Sprintf(`{"Steps":[{"Ms":%d,"Fails":%t,"Lasts":%t,"Gang":%d}]}`, behaviour.Ms, behaviour.Fails, behaviour.Lasts, behaviour.Gang)
+	spec := fmt.Sprintf(`{"Steps":[{"Ms":%d,"Fails":%t,"Lasts":%t,"Gang":%d,"FirstFailsMs":%d}]}`, behaviour.Ms, behaviour.Fails, behaviour.Lasts, behaviour.Gang, behaviour.FirstFailsMs)
 	return map[string]any{"Spec": spec, "Steps": []map[string]any{step}}
 }
 
-// playStarvedGang hands in jobs that last, two of which can never be done, and then a gang. The gang must not wait with nothing running while nearly all of
-// the service is free.
-func playStarvedGang(ctx context.Context, i *installation.Installation, trouble bool) (string, error) {
+// handInLastingJobs starts the installation and hands in the jobs that last. If firstFails is not 0, the first task of each fourth job fails once: that of the
+// first job after this time, and that of each further one failInterval later.
+func handInLastingJobs(ctx context.Context, i *installation.Installation, trouble bool, firstFails time.Duration) error {
 	i.Queues = []installation.Queue{
 		{Name: "preview", Priority: 0, MaxAttempts: 2, Stretch: 1.5, TargetLatencyMs: 250},
 		{Name: "buildall", Priority: 2, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000},
 		{Name: "indexer", Priority: 0, MaxAttempts: 3, Stretch: 2.2, TargetLatencyMs: 2500},
 	}
 	if err := i.Start(ctx); err != nil {
-		return "", err
+		return err
 	}
 	time.Sleep(3 * time.Second)
 	for n := range lastingJobs {
@@ -49,12 +49,25 @@
 		if n >= lastingJobs-hopelessJobs {
 			count = 12
 		}
-		body := job(worker.Step{Ms: 300, Fails: fails, Lasts: true}, count, 500, map[string]any{"LongRunning": true, "Image": "index"})
+		behaviour := worker.Step{Ms: 300, Fails: fails, Lasts: true}
+		if firstFails > 0 && n%4 == 0 && n < lastingJobs-hopelessJobs {
+			behaviour.FirstFailsMs = int((firstFails + time.Duration(n/4)*failInterval).Milliseconds())
+		}
+		body := job(behaviour, count, 500, map[string]any{"LongRunning": true, "Image": "index"})
 		if !i.Submit(ctx, n, "indexer", fmt.Sprintf("%016x", 0x1000+n), body) {
-			return "", fmt.Errorf("job %d was not accepted", n)
+			return fmt.Errorf("job %d was not accepted", n)
 		}
 		time.Sleep(handInTime/lastingJobs - 5*time.Millisecond)
 	}
+	return nil
+}
+
+// playStarvedGang hands in jobs that last, two of which can never be done, and then a gang. The gang must not wait with nothing running while nearly all of
+// the service is free.
+func playStarvedGang(ctx context.Context, i *installation.Installation, trouble bool) (string, error) {
+	if err := handInLastingJobs(ctx, i, trouble, 0); err != nil {
+		return "", err
+	}
 	time.Sleep(15 * time.Second)
 	const gang, members = "00000000000000aa", 16
 	body := job(worker.Step{Ms: 1000, Gang: members}, members, 16000, map[string]any{"Gang": true})
--- a/review/third/cmd/review-third/main.go
+++ b/review/third/cmd/review-third/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(ctx context.Context, i *installation.Installation, trouble bool) (string, error){
 	"11": playStarvedGang,
 	"12": playTakeover,
+	"13": playAbsentTasks,
 }
 
 func main() {
--- a/review/third/internal/worker/worker.go
+++ b/review/third/internal/worker/worker.go
@@ -30,13 +30,14 @@
 		Steps []Step
 	}
 
-	// Step is how the tasks of one step behave. A task takes Ms, or lasts. If Fails is set, its runs end as failed after Ms.
+	// Step is how the tasks of one step behave. A task takes Ms, or lasts. If Fails is set, its runs end as failed after Ms. If FirstFailsMs is not 0, the
+	// first run of the first task ends as failed after that time. Gang is the number of tasks that work only together.
 	Step struct {
-		Ms    int
-		Fails bool
-		Lasts bool
-		Gang  int
-		Text  string
+		Ms           int
+		Fails        bool
+		Lasts        bool
+		Gang         int
+		FirstFailsMs int
 	}
 
 	// Event is the start or the end of a run.
@@ -294,6 +295,11 @@
 	}
 }
 
+// failsFirst reports whether the run fails after FirstFailsMs.
+func (r *run) failsFirst() bool {
+	return r.step.FirstFailsMs > 0 && r.number == 1 && strings.HasSuffix(r.task, ".0")
+}
+
 // percent returns how far the run is.
 func (r *run) percent(g *Gangs) int {
 	total := time.Duration(r.step.Ms) * time.Millisecond
@@ -324,7 +330,7 @@
 				w.end(r, "alone")
 			}
 		case now.Sub(r.started) < total:
-		case r.step.Fails:
+		case r.step.Fails, r.failsFirst() && now.Sub(r.started) >= time.Duration(r.step.FirstFailsMs)*time.Millisecond:
 			w.end(r, "failed")
 		case !r.step.Lasts:
 			w.end(r, "done")
