review: number the cases of the third review by gravity

Cause: the loss of all owners (thin links) is graver than a gang that waits, but was numbered after it.

--- a/review/third/cmd/review-third/main.go
+++ b/review/third/cmd/review-third/main.go
@@ -12,8 +12,8 @@
 
 // cases holds the cases by number. Each returns what broke the rule, or "". trouble reports whether the disruption happens.
 var cases = map[string]func(ctx context.Context, i *installation.Installation, trouble bool) (string, error){
-	"11": playStarvedGang,
-	"12": playTakeover,
+	"11": playTakeover,
+	"12": playStarvedGang,
 	"13": playAbsentTasks,
 }
 
