review: case 14, a worker that returns under its ID counts as draining

Cause: a deregistration names no life of its worker. An agent that stood still may handle it after the first heartbeat of the next life under the same ID, which then counts as draining until it ends.

--- a/review/third/cmd/review-third/main.go
+++ b/review/third/cmd/review-third/main.go
@@ -15,6 +15,7 @@
 	"11": playTakeover,
 	"12": playStarvedGang,
 	"13": playAbsentTasks,
+	"14": playLateDeregistration,
 }
 
 func main() {
--- a/review/third/internal/installation/installation.go
+++ b/review/third/internal/installation/installation.go
@@ -90,11 +90,15 @@
 		// Links holds the bandwidths of the entries in Mbit/s as their settings state them, at which they also get the responses of the store. An entry
 		// without one has 1,000 Mbit/s, and the store does not limit it. Those below thinLink have fewer processors and less memory.
 		Links []float64
+		// OneProcessor gives each agent one processor, as the machines of the platform have (CpuCores = 1). Otherwise it has all of this machine.
+		OneProcessor bool
 		// Program is the path of the program of the deploy file. Record receives a line for each event.
 		Program string
 		Record  io.Writer
 
-		Store     *metastore.Metastore
+		Store *metastore.Metastore
+		// All holds the workers. Start sets it.
+		All       []*worker.Worker
 		mutex     sync.Mutex
 		startedAt time.Time
 		events    []worker.Event
@@ -126,13 +130,14 @@
 	gangs := worker.NewGangs()
 	for n := range i.Workers {
 		w := &worker.Worker{
-			ID: fmt.Sprintf("i-%08x", n+1), Service: service, Zone: i.zone(n), Rack: fmt.Sprintf("r%d", n/3), Address: i.address(2, n+1, 5),
+			ID: fmt.Sprintf("i-%08x", n+1), Service: service, Zone: i.zone(n), Kind: kind(n), Rack: fmt.Sprintf("r%d", n/3), Address: i.address(2, n+1, 5),
 			AgentAddress: i.address(2, n+1, 6), CPU: 64000, MemMb: 256000, Gangs: gangs, OnEvent: i.observe,
 		}
 		if err := serve(ctx, w.Handler(), w.Address); err != nil {
 			return err
 		}
 		go w.Run(ctx)
+		i.All = append(i.All, w)
 	}
 	for n := range i.Entries {
 		if err := i.StartProcess("entry", n); err != nil {
@@ -202,7 +207,11 @@
 	cmd := exec.Command(i.Program, "platform", role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "BAMBOOHOOK_BOOT=" + file}
 	cmd.Stdout, cmd.Stderr = output, output
-	if err := cmd.Start(); err != nil {
+	start := cmd.Start
+	if i.OneProcessor && role == "agent" {
+		start = func() error { return startOnOneProcessor(cmd) }
+	}
+	if err := start(); err != nil {
 		return err
 	}
 	i.mutex.Lock()
@@ -325,6 +334,14 @@
 
 func (*Installation) zone(n int) string { return []string{"kgn-a", "kgn-b", "kgn-c"}[n%3] }
 
+// kind returns the kind of a worker. The last of eleven is the only one of its kind.
+func kind(n int) string {
+	if n == 10 {
+		return "b"
+	}
+	return "a"
+}
+
 func (i *Installation) ip(group, n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", i.subnet, group, n)
 }
--- a/review/third/internal/worker/worker.go
+++ b/review/third/internal/worker/worker.go
@@ -15,7 +15,10 @@
 
 const (
 	heartbeatInterval = 1100 * time.Millisecond
-	tickInterval      = 5 * time.Millisecond
+	heartbeatTimeout  = time.Second
+	// leaveTimeout is how long a worker that leaves waits for the acknowledgement.
+	leaveTimeout = 2 * time.Second
+	tickInterval = 5 * time.Millisecond
 	// maxHold is MaxHoldMs, stopTime a part of StopTimeoutMs, gangTimeout GangTimeoutMs and startup the startup of a task that lasts.
 	maxHold     = 6 * time.Second
 	stopTime    = 20 * time.Millisecond
@@ -59,10 +62,10 @@
 
 	// Worker is one worker. Set the exported fields before Run.
 	Worker struct {
-		ID, Service, Zone, Rack, Address, AgentAddress string
-		CPU, MemMb                                     int64
-		Gangs                                          *Gangs
-		OnEvent                                        func(Event)
+		ID, Service, Zone, Kind, Rack, Address, AgentAddress string
+		CPU, MemMb                                           int64
+		Gangs                                                *Gangs
+		OnEvent                                              func(Event)
 
 		mutex    sync.Mutex
 		born     time.Time
@@ -74,6 +77,9 @@
 		next     int64
 		sequence int64
 		changed  chan struct{}
+		// state is "ready" or "draining". ended reports that this life has ended.
+		state string
+		gone  bool
 	}
 
 	run struct {
@@ -101,7 +107,8 @@
 // Run sends heartbeats and ends runs until ctx is done.
 func (w *Worker) Run(ctx context.Context) {
 	w.mutex.Lock()
-	w.born, w.runs, w.highest, w.next, w.changed = time.Now(), map[string]*run{}, map[string]int{}, 1, make(chan struct{})
+	w.changed = make(chan struct{})
+	w.begin()
 	w.mutex.Unlock()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -122,6 +129,40 @@
 	}
 }
 
+// begin begins a life of the worker, which holds and knows nothing of before. The caller holds the mutex.
+func (w *Worker) begin() {
+	w.born, w.runs, w.highest, w.ended, w.next, w.sequence = time.Now(), map[string]*run{}, map[string]int{}, nil, 1, 0
+	w.token, w.lease, w.state, w.gone = 0, time.Time{}, "ready", false
+}
+
+// Drain makes the worker report that it drains.
+func (w *Worker) Drain(ctx context.Context) {
+	w.mutex.Lock()
+	w.state = "draining"
+	w.mutex.Unlock()
+	w.beat(ctx)
+}
+
+// Leave sends the deregistration, waits for the answer for leaveTimeout, and ends this life.
+func (w *Worker) Leave(ctx context.Context) {
+	w.post(ctx, leaveTimeout, "deregister", []byte("{}"))
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.gone = true
+	for _, r := range w.runs {
+		w.event(r, "gone")
+	}
+	w.runs = map[string]*run{}
+}
+
+// Return begins another life under the same ID.
+func (w *Worker) Return(ctx context.Context) {
+	w.mutex.Lock()
+	w.begin()
+	w.mutex.Unlock()
+	go w.beat(ctx)
+}
+
 // Handler returns the worker's API.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -134,20 +175,30 @@
 
 func (w *Worker) beat(ctx context.Context) {
 	w.mutex.Lock()
+	if w.gone {
+		w.mutex.Unlock()
+		return
+	}
 	w.sequence++
 	body, _ := json.Marshal(map[string]any{
-		"Service": w.Service, "Address": w.Address, "Zone": w.Zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
-		"Capacity": map[string]int64{"Cpu": w.CPU, "MemMb": w.MemMb, "Gpu": 0}, "Labels": []string{"a", w.Rack}, "ClockMs": w.clock(),
+		"Service": w.Service, "Address": w.Address, "Zone": w.Zone, "Version": "v1", "Slots": 8, "State": w.state, "RemainingMs": 2000, "ColdRemainingMs": 0,
+		"Capacity": map[string]int64{"Cpu": w.CPU, "MemMb": w.MemMb, "Gpu": 0}, "Labels": []string{w.Kind, w.Rack}, "ClockMs": w.clock(),
 		"Sequence": w.sequence, "born": w.born.UnixMilli(),
 	})
 	w.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	w.post(ctx, heartbeatTimeout, "heartbeat", body)
+}
+
+// post sends a message to the agent over a connection of its own.
+func (w *Worker) post(ctx context.Context, timeout time.Duration, what string, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.AgentAddress+"/v1/instances/"+w.ID+"/heartbeat", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.AgentAddress+"/v1/instances/"+w.ID+"/"+what, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Close = true
 	if response, err := http.DefaultClient.Do(request); err == nil {
 		_ = response.Body.Close()
 	}
@@ -158,6 +209,12 @@
 // serve decodes a call and checks for which life of the worker it is meant.
 func (w *Worker) serve(handle func(ctx context.Context, c call) (status int, body map[string]any)) http.HandlerFunc {
 	return func(response http.ResponseWriter, request *http.Request) {
+		w.mutex.Lock()
+		gone := w.gone
+		w.mutex.Unlock()
+		if gone {
+			panic(http.ErrAbortHandler)
+		}
 		if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != w.ID {
 			response.WriteHeader(http.StatusMisdirectedRequest)
 			return
