--- a/review/third/cmd/review-third/main.go
+++ b/review/third/cmd/review-third/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"bamboohook/review/third/internal/installation"
 )
@@ -37,6 +39,14 @@
 	defer cancel()
 	i := &installation.Installation{Entries: 3, Workers: 11, Program: program, Record: record}
 	defer i.Stop()
+	// run.sh ends a script that takes too long with SIGTERM. Its processes must not outlive it.
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		i.Stop()
+		os.Exit(2)
+	}()
 	broken, err := cases[number](ctx, i, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
